Explore idle targets; reload settings on SIGHUP and on change

Ruled out: spreading always (failures rise with each unproven target). Now idle targets are tried by repeatable requests, and by any while more than 7% of the service's requests of the last 2 s fail, over all its nodes.

--- a/cmd/tinladder-node/main.go
+++ b/cmd/tinladder-node/main.go
@@ -65,7 +65,7 @@
 	if err != nil || args.Check {
 		return err
 	}
-	n, err := tinladder.NewGateway(s)
+	n, err := tinladder.NewGateway(s, args.Settings)
 	if err != nil {
 		return err
 	}
--- a/gateway/duty.go
+++ b/gateway/duty.go
@@ -76,7 +76,7 @@
 	defer d.mu.Unlock()
 	for _, m := range n.members.Live() {
 		p := ident.Process{Node: ident.Node(m.GetNode()), Incarnation: ident.Incarnation(m.GetIncarnation())}
-		if m.GetHall() != n.settings.Node.Hall || m.GetLeaving() || m.GetState() != tlv1.NodeState_NODE_STATE_ALIVE || now-d.deafAt[p] < deafFor {
+		if m.GetHall() != n.settings().Node.Hall || m.GetLeaving() || m.GetState() != tlv1.NodeState_NODE_STATE_ALIVE || now-d.deafAt[p] < deafFor {
 			continue
 		}
 		candidates = append(candidates, assign.Candidate{Node: ident.Node(m.GetNode()), Weight: memberWeight})
@@ -221,13 +221,13 @@
 	now := n.clock.Now()
 	d.told = now
 	c := &tlv1.Confirm{
-		Node: string(n.self.Node), Incarnation: uint64(n.self.Incarnation), Hall: n.settings.Node.Hall,
+		Node: string(n.self.Node), Incarnation: uint64(n.self.Incarnation), Hall: n.settings().Node.Hall,
 		AgeMs: int64(now - d.confirmedAt), StateVersion: uint64(n.state.version()), TargetsSum: n.roster.Sum(), Deaf: deaf,
 	}
 	d.mu.Unlock()
 	var addresses []string
 	for _, m := range n.members.Live() {
-		if m.GetHall() == n.settings.Node.Hall {
+		if m.GetHall() == n.settings().Node.Hall {
 			addresses = append(addresses, m.GetGossipAddress())
 		}
 	}
@@ -275,7 +275,7 @@
 // announce tells all nodes at once which desired state this node holds, and whether it leaves.
 func (n *Node) announce() {
 	c := &tlv1.Confirm{
-		Node: string(n.self.Node), Incarnation: uint64(n.self.Incarnation), Hall: n.settings.Node.Hall,
+		Node: string(n.self.Node), Incarnation: uint64(n.self.Incarnation), Hall: n.settings().Node.Hall,
 		AgeMs: int64(n.duty.age()), StateVersion: uint64(n.state.version()), TargetsSum: n.roster.Sum(),
 	}
 	var addresses []string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,7 +48,8 @@
 
 // A Node struct is one process of the fleet.
 type Node struct {
-	settings *settings.Gateway
+	config   atomic.Pointer[settings.Gateway]
+	path     string
 	clock    clock.Clock
 	log      *logrus.Logger
 	source   desired.Source
@@ -72,15 +73,22 @@
 	done      chan struct{}
 }
 
-// New returns a node that listens at its addresses, and serves nobody yet.
-func New(s *settings.Gateway, src desired.Source, speak Translator, c clock.Clock, log *logrus.Logger) (n *Node, err error) {
+// settings returns the settings in force.
+func (n *Node) settings() *settings.Gateway {
+	return n.config.Load()
+}
+
+// New returns a node that listens at its addresses, and serves nobody yet. It reads the settings
+// again from the path when they change.
+func New(s *settings.Gateway, path string, src desired.Source, speak Translator, c clock.Clock, log *logrus.Logger) (n *Node, err error) {
 	defer func() { err = errors.Wrap(err, "new node") }()
 	n = &Node{
-		settings: s, clock: c, log: log, source: src, speak: speak,
+		path: path, clock: c, log: log, source: src, speak: speak,
 		self:  ident.Process{Node: ident.Node(s.Node.Name), Incarnation: ident.Incarnation(c.Now())},
 		conns: forward.NewConns(c, dialTimeout),
 		done:  make(chan struct{}),
 	}
+	n.config.Store(s)
 	self := &tlv1.Member{
 		Node: s.Node.Name, Incarnation: uint64(n.self.Incarnation), Hall: s.Node.Hall, Weight: memberWeight,
 		GossipAddress: s.Node.Peers, PeerAddress: s.Node.Peers, CallerAddress: s.Node.Callers,
@@ -114,7 +122,7 @@
 			n.close()
 		}
 	}()
-	if n.wire, err = listenWire(n.settings.Node.Peers); err != nil {
+	if n.wire, err = listenWire(n.settings().Node.Peers); err != nil {
 		return err
 	}
 	front := &http.Server{Handler: http.HandlerFunc(n.serve), ErrorLog: quiet(n.log)}
@@ -122,10 +130,10 @@
 		address string
 		server  *http.Server
 	}{
-		{n.settings.Node.Callers, front},
-		{n.settings.Node.Readiness, &http.Server{Handler: n.readinessDoor(), ErrorLog: quiet(n.log)}},
-		{n.settings.Node.Directory, &http.Server{Handler: n.directoryDoor(), ErrorLog: quiet(n.log)}},
-		{n.settings.Node.Peers, &http.Server{Handler: n.peers.door(), ErrorLog: quiet(n.log)}},
+		{n.settings().Node.Callers, front},
+		{n.settings().Node.Readiness, &http.Server{Handler: n.readinessDoor(), ErrorLog: quiet(n.log)}},
+		{n.settings().Node.Directory, &http.Server{Handler: n.directoryDoor(), ErrorLog: quiet(n.log)}},
+		{n.settings().Node.Peers, &http.Server{Handler: n.peers.door(), ErrorLog: quiet(n.log)}},
 	}
 	for _, d := range doors {
 		l, err := net.Listen("tcp", d.address)
@@ -152,8 +160,9 @@
 		every(background, tickEvery, n.tick),
 		start(background, n.duty.watchState),
 		start(background, n.duty.watchTargets),
+		start(background, n.followSettings),
 	}
-	n.log.WithFields(logrus.Fields{"event": "started", "node": n.self.Node, "hall": n.settings.Node.Hall}).Info()
+	n.log.WithFields(logrus.Fields{"event": "started", "node": n.self.Node, "hall": n.settings().Node.Hall}).Info()
 	select {
 	case <-ctx.Done():
 		n.leave()
@@ -201,7 +210,7 @@
 	n.members.Leave()
 	n.announce()
 	begin := n.clock.Now()
-	grace := n.settings.Bounds.Grace.Millis()
+	grace := n.settings().Bounds.Grace.Millis()
 	for {
 		time.Sleep(leaveCheck.Duration())
 		spent := n.clock.Now() - begin
--- /dev/null
+++ b/gateway/reload.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/settings"
+)
+
+// settingsEvery is how often the settings file is looked at for changes that no signal told of.
+const settingsEvery = 2 * clock.Second
+
+// followSettings takes over changes of the settings file, on SIGHUP and without.
+func (n *Node) followSettings(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	t := time.NewTicker(settingsEvery.Duration())
+	defer t.Stop()
+	last := stampOf(n.path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			last = stampOf(n.path)
+			n.reload("signal")
+		case <-t.C:
+			if s := stampOf(n.path); s != last {
+				last = s
+				n.reload("file changed")
+			}
+		}
+	}
+}
+
+// A stamp tells whether a file has changed.
+type stamp struct {
+	size int64
+	at   time.Time
+}
+
+func stampOf(path string) stamp {
+	i, err := os.Stat(path)
+	if err != nil {
+		return stamp{}
+	}
+	return stamp{size: i.Size(), at: i.ModTime()}
+}
+
+// reload reads the settings again. Those that make no sense are told of and change nothing, and
+// addresses stay as they were until the next start.
+func (n *Node) reload(why string) {
+	next, err := settings.LoadGateway(n.path)
+	if err != nil {
+		n.log.WithFields(logrus.Fields{"event": "settings_refused", "why": why, "error": err}).Error()
+		return
+	}
+	old := n.settings()
+	if next.Node != old.Node || next.Store != old.Store {
+		n.log.WithFields(logrus.Fields{"event": "settings_need_restart"}).Warn()
+		next.Node, next.Store = old.Node, old.Store
+	}
+	n.config.Store(next)
+	if !slices.Equal(next.Fleet.Seeds, old.Fleet.Seeds) {
+		n.members.Seed(next.Fleet.Seeds)
+	}
+	n.log.WithFields(logrus.Fields{"event": "settings_reloaded", "why": why}).Info()
+}
--- a/gateway/resolve.go
+++ b/gateway/resolve.go
@@ -29,7 +29,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		n.speak.WriteAddresses(w, list, min(validFor, n.settings.Bounds.Valid.Millis()))
+		n.speak.WriteAddresses(w, list, min(validFor, n.settings().Bounds.Valid.Millis()))
 	})
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -329,6 +329,7 @@
 }
 
 func (x *exchange) log(status int, reason string) {
+	x.service.pool.Ended(status < http.StatusInternalServerError)
 	if status < http.StatusBadRequest {
 		return
 	}
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -50,7 +50,7 @@
 		return svc
 	}
 	n := s.node
-	r := n.settings.Retries
+	r := n.settings().Retries
 	svc := &service{name: name}
 	b := pool.NewBudget(n.clock, r.Ratio*ratioShare, s.slack(), r.Window.Millis())
 	svc.pool = pool.New(pool.DefaultTuning, n.clock, newRand(), b, func(urgent bool) { s.report(svc, urgent) })
@@ -60,7 +60,7 @@
 }
 
 func (s *services) slack() float64 {
-	return s.node.settings.Retries.Slack * slackShare / float64(len(s.node.members.Live())+1)
+	return s.node.settings().Retries.Slack * slackShare / float64(len(s.node.members.Live())+1)
 }
 
 func (s *services) targets(name string) []pool.Target {
@@ -68,7 +68,7 @@
 	for _, d := range s.node.roster.ofService(name) {
 		list = append(list, pool.Target{
 			ID: ident.Target(d.GetId()), Address: d.GetAddress(), Slots: int(d.GetSlots()),
-			Near: d.GetHall() == s.node.settings.Node.Hall, Leaving: d.GetLeaving(), WarmAt: d.warmAt,
+			Near: d.GetHall() == s.node.settings().Node.Hall, Leaving: d.GetLeaving(), WarmAt: d.warmAt,
 		})
 	}
 	return list
@@ -120,7 +120,7 @@
 		return
 	}
 	r.Node, r.Incarnation, r.Service = string(n.self.Node), uint64(n.self.Incarnation), svc.name
-	members := n.carriers.inHall(svc.name, ident.Hall(n.settings.Node.Hall))
+	members := n.carriers.inHall(svc.name, ident.Hall(n.settings().Node.Hall))
 	if far {
 		members = n.carriers.all(svc.name)
 	}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -63,6 +63,9 @@
 // have a slot free.
 func (p *Pool) choose(a *Ask, full bool) *target {
 	now := p.clock.Now()
+	if t := p.explore(a, now); t != nil {
+		return t
+	}
 	var best *target
 	var least float64
 	for _, t := range p.order {
--- /dev/null
+++ b/pool/explore.go
@@ -0,0 +1,112 @@
+package pool
+
+import (
+	"slices"
+
+	"github.com/tinladder/tinladder/clock"
+)
+
+// A tally counts requests that ended, and those that got no good answer.
+type tally struct {
+	asked, unserved int
+}
+
+func (t *tally) add(o tally) {
+	t.asked += o.asked
+	t.unserved += o.unserved
+}
+
+// windowParts is how finely a window moves on.
+const windowParts = 8
+
+// A window counts what ended lately.
+type window struct {
+	part  clock.Millis
+	parts [windowParts]tally
+	last  clock.Millis
+}
+
+func newWindow(span clock.Millis) *window {
+	return &window{part: max(span/windowParts, 1)}
+}
+
+// turn moves the window on to now.
+func (w *window) turn(now clock.Millis) {
+	n := now / w.part
+	for i := max(w.last+1, n-windowParts+1); i <= n; i++ {
+		w.parts[i%windowParts] = tally{}
+	}
+	w.last = max(w.last, n)
+}
+
+func (w *window) count(now clock.Millis, served bool) {
+	w.turn(now)
+	t := &w.parts[w.last%windowParts]
+	t.asked++
+	if !served {
+		t.unserved++
+	}
+}
+
+func (w *window) sum(now clock.Millis) (s tally) {
+	w.turn(now)
+	for _, t := range w.parts {
+		s.add(t)
+	}
+	return s
+}
+
+// Ended tells how a request ended: whether its caller got a good answer.
+func (p *Pool) Ended(served bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended.count(p.clock.Now(), served)
+}
+
+// minTroubled is the fewest requests that say anything.
+const minTroubled = 10
+
+// troubled says whether so many requests of the service fail, over the nodes that are heard, that
+// all sound targets must be given work.
+func (p *Pool) troubled(now clock.Millis) bool {
+	s := p.ended.sum(now)
+	for from, o := range p.peerEnded {
+		if now-o.at <= p.tuning.PeerAge {
+			s.add(o.tally)
+		} else {
+			delete(p.peerEnded, from)
+		}
+	}
+	return s.asked >= minTroubled && float64(s.unserved) > p.tuning.TroubleShare*float64(s.asked)
+}
+
+// explore returns a target that should be tried since too little is known of it, or nil. Only near
+// targets are tried, so that the halls do not all try the same.
+func (p *Pool) explore(a *Ask, now clock.Millis) *target {
+	troubled := p.troubled(now)
+	var best *target
+	for _, t := range p.order {
+		if !t.Near || !p.usable(t, now) || slices.Contains(a.Not, t.ID) || p.inFlight(t, now) >= t.Slots {
+			continue
+		}
+		if !p.due(t, a, troubled, now) {
+			continue
+		}
+		if best == nil || t.usedAt < best.usedAt {
+			best = t
+		}
+	}
+	return best
+}
+
+// due says whether the request should try the target.
+func (p *Pool) due(t *target, a *Ask, troubled bool, now clock.Millis) bool {
+	if t.usedAt == 0 {
+		return now-t.known > p.tuning.JoinWait
+	}
+	idle, failing := now-t.usedAt, t.belief.Failing(&p.tuning.Model, now)
+	if a.Repeatable && len(a.Not) == 0 && idle > p.tuning.ExploreIdle && failing < p.tuning.ExploreBelow {
+		return p.budget.Left() > 1
+	}
+	return troubled && idle > p.tuning.TroubleIdle && failing < p.tuning.TroubleBelow
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -83,6 +83,17 @@
 	Hold float64
 	// Overcommit is how many requests may be in a target's own queue, as a multiple of its slots.
 	Overcommit float64
+	// JoinWait is how soon a new target is tried, with any request.
+	JoinWait clock.Millis
+	// ExploreIdle is how long a target may go without requests before a repeatable one tries it, and
+	// TroubleIdle before any does while the service is in trouble.
+	ExploreIdle, TroubleIdle clock.Millis
+	// ExploreBelow and TroubleBelow bound how likely such a target may be failing.
+	ExploreBelow, TroubleBelow float64
+	// TroubleShare is the share of requests without a good answer, within TroubleWindow, from which
+	// on a service is in trouble.
+	TroubleShare  float64
+	TroubleWindow clock.Millis
 	// FirstServiceTime is assumed until answers have been seen.
 	FirstServiceTime clock.Millis
 }
@@ -99,6 +110,13 @@
 	PeerAge:          1500,
 	Hold:             0.15,
 	Overcommit:       1,
+	JoinWait:         1500,
+	ExploreIdle:      1000,
+	TroubleIdle:      1400,
+	ExploreBelow:     0.7,
+	TroubleBelow:     0.6,
+	TroubleShare:     0.07,
+	TroubleWindow:    2000,
 	FirstServiceTime: 200,
 }
 
@@ -109,6 +127,12 @@
 	failed   uint32
 }
 
+// peerTally is what another node said of how its requests ended.
+type peerTally struct {
+	tally
+	at clock.Millis
+}
+
 type target struct {
 	Target
 	belief belief.Belief
@@ -126,7 +150,9 @@
 	// closings counts answers in a row that said that the connection closes.
 	closings int
 	known    clock.Millis
-	used     bool
+	// usedAt is when any node was last known to send it a request.
+	usedAt clock.Millis
+	used   bool
 	gone     bool
 	changed  bool
 }
@@ -147,6 +173,8 @@
 	waiting     *list.List
 	serviceTime float64
 	reportSeq   uint64
+	ended       *window
+	peerEnded   map[ident.Process]peerTally
 }
 
 // New returns a pool without targets.
@@ -154,6 +182,7 @@
 	return &Pool{
 		clock: c, rand: r, tuning: t, budget: b, changed: changed,
 		targets: map[ident.Target]*target{}, waiting: list.New(), serviceTime: float64(t.FirstServiceTime),
+		ended: newWindow(t.TroubleWindow), peerEnded: map[ident.Process]peerTally{},
 	}
 }
 
@@ -201,7 +230,7 @@
 
 func (p *Pool) lease(t *target, now clock.Millis) *Lease {
 	t.mine++
-	t.used = true
+	t.used, t.usedAt = true, now
 	t.changed = true
 	return &Lease{
 		pool: p, target: t, Target: t.ID, Address: t.Address, from: now,
--- a/pool/share.go
+++ b/pool/share.go
@@ -15,7 +15,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	r := &tlv1.Report{Whole: whole}
+	ended := p.ended.sum(now)
+	r := &tlv1.Report{Whole: whole, Asked: uint32(ended.asked), Unserved: uint32(ended.unserved)}
 	for _, t := range p.order {
 		if !t.changed && !(whole && t.used) {
 			continue
@@ -45,6 +46,7 @@
 func (p *Pool) Hear(from ident.Process, r *tlv1.Report) {
 	p.mu.Lock()
 	now := p.clock.Now()
+	p.peerEnded[from] = peerTally{tally: tally{asked: int(r.GetAsked()), unserved: int(r.GetUnserved())}, at: now}
 	for _, s := range r.GetSeen() {
 		if t := p.targets[ident.Target(s.GetTarget())]; t != nil {
 			p.hear(t, from, s, now)
@@ -77,6 +79,14 @@
 	if s.GetOkMs() != never {
 		was.okAt = okAt
 	}
+	for _, ms := range []int64{s.GetOkMs(), s.GetFailedMs()} {
+		if ms != never {
+			t.usedAt = max(t.usedAt, now-clock.Millis(ms))
+		}
+	}
+	if s.GetInFlight() > 0 {
+		t.usedAt = now
+	}
 	was.failed = s.GetFailed()
 	was.inFlight = int(s.GetInFlight())
 	was.at = now
--- a/tinladder.go
+++ b/tinladder.go
@@ -71,7 +71,7 @@
 }
 
 // NewGateway returns a node on the users' platform, with its doors open.
-func NewGateway(s *settings.Gateway) (n *gateway.Node, err error) {
+func NewGateway(s *settings.Gateway, path string) (n *gateway.Node, err error) {
 	defer func() { err = errors.Wrap(err, "tinladder") }()
 	level, err := logrus.ParseLevel(s.Log.Level)
 	if err != nil {
@@ -86,7 +86,7 @@
 		log.WithFields(logrus.Fields{"event": "row_refused", "row": row, "error": err}).Error()
 	}
 	src := platform.NewSource(platform.NewClient(s.Store.Address), bad)
-	return gateway.New(s, src, translator(), c, log)
+	return gateway.New(s, path, src, translator(), c, log)
 }
 
 // translator speaks as the users' platform does.
