--- a/config/document.go
+++ b/config/document.go
@@ -187,17 +187,3 @@
 	}
 	return int(s.GetNodes())
 }
-
-// Ejectable returns how many targets may be ejected at a time, whichever they are, so that the
-// others hold the floor. Leaving targets do not count as capacity.
-func Ejectable(s *tlv1.Service) int {
-	var slots []uint32
-	var total uint32
-	for _, t := range s.GetTargets() {
-		if !t.GetLeaving() {
-			slots = append(slots, t.GetSlots())
-			total += t.GetSlots()
-		}
-	}
-	return ejectable(slots, total, s.GetFloorSlots())
-}
--- a/config/log.go
+++ b/config/log.go
@@ -5,8 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tinladder/tinladder/ident"
-	"github.com/tinladder/tinladder/backing"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+	"github.com/tinladder/tinladder/store"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -28,11 +28,11 @@
 }
 
 type log struct {
-	table backing.Table
+	table store.Table
 }
 
 // NewLog returns the Log of the table.
-func NewLog(t backing.Table) Log {
+func NewLog(t store.Table) Log {
 	return &log{table: t}
 }
 
@@ -41,7 +41,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "read head of log")
 	}
-	return rows[0].Version, nil
+	return seqIn(rows[0])
 }
 
 func (l *log) Since(ctx context.Context, seq uint64) (changes []*tlv1.Change, err error) {
@@ -53,7 +53,7 @@
 	return changesIn(rows)
 }
 
-func changesIn(rows []backing.Row) ([]*tlv1.Change, error) {
+func changesIn(rows []store.Row) ([]*tlv1.Change, error) {
 	changes := make([]*tlv1.Change, len(rows))
 	for i, r := range rows {
 		changes[i] = &tlv1.Change{}
@@ -80,7 +80,7 @@
 
 func (l *log) Services(ctx context.Context, w ident.Workspace) (docs []*tlv1.Document, err error) {
 	defer func() { err = errors.Wrapf(err, "list services of %s", w) }()
-	err = l.pages(ctx, ident.ServicePrefix(w), func(rows []backing.Row) error {
+	err = l.pages(ctx, ident.ServicePrefix(w), func(rows []store.Row) error {
 		for _, r := range rows {
 			d, err := documentIn(r)
 			if err != nil {
@@ -95,7 +95,7 @@
 
 func (l *log) History(ctx context.Context, k ident.Key, limit int) (changes []*tlv1.Change, err error) {
 	defer func() { err = errors.Wrapf(err, "read history of %s", k) }()
-	err = l.pages(ctx, historyPrefix+string(k)+"/", func(rows []backing.Row) error {
+	err = l.pages(ctx, historyPrefix+string(k)+"/", func(rows []store.Row) error {
 		more, err := changesIn(rows)
 		if err != nil {
 			return err
@@ -111,7 +111,7 @@
 }
 
 // pages calls f with each page of the rows with the prefix.
-func (l *log) pages(ctx context.Context, prefix string, f func(rows []backing.Row) error) error {
+func (l *log) pages(ctx context.Context, prefix string, f func(rows []store.Row) error) error {
 	after := ""
 	for {
 		rows, err := l.table.Scan(ctx, prefix, after, page)
--- a/config/writer.go
+++ b/config/writer.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
-	"github.com/tinladder/tinladder/backing"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+	"github.com/tinladder/tinladder/store"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -61,27 +62,27 @@
 // A Writer makes changes.
 type Writer interface {
 	// Apply makes the change, or says why not: ErrInvalid, *StaleError, ErrVoided, ErrUndecided
-	// or backing.ErrAway, the last only if nothing was written.
+	// or store.ErrAway, the last only if nothing was written.
 	Apply(ctx context.Context, r Request) (*tlv1.Change, error)
 	// Resolve says what became of a change, and voids it if it was not made.
 	Resolve(ctx context.Context, id string) (*tlv1.Change, error)
 }
 
 type writer struct {
-	table backing.Table
+	table store.Table
 	clock clock.Clock
 }
 
 // NewWriter returns a Writer on the table.
-func NewWriter(t backing.Table, c clock.Clock) Writer {
+func NewWriter(t store.Table, c clock.Clock) Writer {
 	return &writer{table: t, clock: c}
 }
 
 // state is what a change is built on.
 type state struct {
-	id   backing.Row
-	head backing.Row
-	doc  backing.Row
+	id   store.Row
+	head store.Row
+	doc  store.Row
 }
 
 func (w *writer) Apply(ctx context.Context, r Request) (c *tlv1.Change, err error) {
@@ -98,7 +99,7 @@
 			return c, err
 		}
 	}
-	return nil, errors.Wrap(backing.ErrAway, "log is too busy")
+	return nil, errors.Wrap(store.ErrAway, "log is too busy")
 }
 
 // try makes one attempt. It is not done if another change was faster.
@@ -120,7 +121,7 @@
 		return nil, false, err
 	}
 	err = w.table.Commit(ctx, writes...)
-	var conflict *backing.Conflict
+	var conflict *store.Conflict
 	switch {
 	case err == nil:
 		return c, true, nil
@@ -152,7 +153,11 @@
 			Current:  ident.Version(current.GetVersion()),
 		}
 	}
-	seq := s.head.Version + 1
+	head, err := seqIn(s.head)
+	if err != nil {
+		return nil, err
+	}
+	seq := head + 1
 	doc := proto.CloneOf(r.Document)
 	doc.Version = seq
 	return &tlv1.Change{
@@ -165,7 +170,7 @@
 	}, nil
 }
 
-func writesFor(c *tlv1.Change, s state) ([]backing.Write, error) {
+func writesFor(c *tlv1.Change, s state) ([]store.Write, error) {
 	change, err := proto.Marshal(c)
 	if err != nil {
 		return nil, err
@@ -174,15 +179,28 @@
 	if err != nil {
 		return nil, err
 	}
-	return []backing.Write{
+	return []store.Write{
 		{Key: idPrefix + c.GetId(), Value: change},
-		{Key: headRow, Expected: s.head.Version},
+		{Key: headRow, Value: seqValue(c.GetSeq()), Expected: s.head.Version},
 		{Key: changePrefix + seqKey(c.GetSeq()), Value: change},
 		{Key: historyPrefix + c.GetDocument().GetKey() + "/" + seqKey(c.GetSeq()), Value: change},
 		{Key: c.GetDocument().GetKey(), Value: doc, Expected: s.doc.Version},
 	}, nil
 }
 
+// seqValue is the value of the head of the log: the last change's sequence number.
+func seqValue(seq uint64) []byte {
+	return []byte(strconv.FormatUint(seq, 10))
+}
+
+func seqIn(head store.Row) (uint64, error) {
+	if head.Version == 0 {
+		return 0, nil
+	}
+	seq, err := strconv.ParseUint(string(head.Value), 10, 64)
+	return seq, errors.Wrap(err, "head of the log")
+}
+
 func seqKey(seq uint64) string {
 	return fmt.Sprintf(seqFormat, seq)
 }
@@ -192,7 +210,7 @@
 func (w *writer) settle(ctx context.Context, id string) (*tlv1.Change, error) {
 	for range maxReads {
 		c, err := w.Resolve(ctx, id)
-		if err == nil || !errors.Is(err, backing.ErrAway) {
+		if err == nil || !errors.Is(err, store.ErrAway) {
 			return c, err
 		}
 		if ctx.Err() != nil {
@@ -221,8 +239,8 @@
 	if err != nil {
 		return nil, err
 	}
-	err = w.table.Commit(ctx, backing.Write{Key: idPrefix + id, Value: value})
-	var conflict *backing.Conflict
+	err = w.table.Commit(ctx, store.Write{Key: idPrefix + id, Value: value})
+	var conflict *store.Conflict
 	switch {
 	case err == nil:
 		return c, ErrVoided
@@ -232,7 +250,7 @@
 	return nil, err
 }
 
-func made(r backing.Row) (*tlv1.Change, error) {
+func made(r store.Row) (*tlv1.Change, error) {
 	c := &tlv1.Change{}
 	if err := proto.Unmarshal(r.Value, c); err != nil {
 		return nil, errors.Wrapf(err, "row %s", r.Key)
@@ -243,7 +261,7 @@
 	return c, nil
 }
 
-func documentIn(r backing.Row) (*tlv1.Document, error) {
+func documentIn(r store.Row) (*tlv1.Document, error) {
 	d := &tlv1.Document{}
 	if err := proto.Unmarshal(r.Value, d); err != nil {
 		return nil, errors.Wrapf(err, "row %s", r.Key)
--- a/desired/desired.go
+++ b/desired/desired.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -41,12 +40,12 @@
 	weight   uint32
 }
 
-// Service draws the service for one request, by weight.
-func (r *Route) Service(random *rand.Rand) string {
+// Service draws the service for one request, by weight. Draw returns a random number below n.
+func (r *Route) Service(draw func(n uint32) uint32) string {
 	if len(r.Parts) == 1 {
 		return r.Parts[0].Service
 	}
-	n := random.Uint32N(r.weight)
+	n := draw(r.weight)
 	for _, p := range r.Parts {
 		if n < p.Weight {
 			return p.Service
@@ -155,7 +154,7 @@
 
 // Find returns the route of the host with the longest prefix that the path begins with, or nil.
 func (t *Table) Find(host, path string) *Route {
-	for _, r := range t.byHost[hostOf(host)] {
+	for _, r := range t.byHost[HostOf(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -165,7 +164,7 @@
 
 // OfHost returns the routes of the host.
 func (t *Table) OfHost(host string) []*Route {
-	return t.byHost[hostOf(host)]
+	return t.byHost[HostOf(host)]
 }
 
 // Routes returns all routes. The caller must not change them.
@@ -178,8 +177,8 @@
 	return t.state
 }
 
-// hostOf drops a port and the case of the host's name.
-func hostOf(host string) string {
+// HostOf drops a port and the case of the host's name.
+func HostOf(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
--- a/emulate/caller.go
+++ b/emulate/caller.go
@@ -13,7 +13,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tinladder/tinladder/node"
-	"github.com/tinladder/tinladder/proxy"
 )
 
 // A Result says how one request ended for its caller.
@@ -108,7 +107,7 @@
 	if err != nil {
 		return a, err
 	}
-	req.Header.Set(proxy.HeaderToken, c.Token)
+	req.Header.Set(node.HeaderToken, c.Token)
 	res, err := c.client.Do(req)
 	if err != nil {
 		return a, err
@@ -178,11 +177,11 @@
 		return Broken, err.Error()
 	}
 	req.GetBody = nil // keep the client library from sending it twice
-	req.Header.Set(proxy.HeaderToken, c.Token)
-	req.Header.Set(proxy.HeaderService, c.Service)
+	req.Header.Set(node.HeaderToken, c.Token)
+	req.Header.Set(node.HeaderService, c.Service)
 	req.Header.Set(HeaderOrder, order)
 	if key != "" {
-		req.Header.Set(proxy.HeaderKey, key)
+		req.Header.Set(node.HeaderKey, key)
 	}
 	res, err := c.client.Do(req)
 	if err != nil {
@@ -197,10 +196,10 @@
 }
 
 func classify(res *http.Response, got []byte, order string) (Result, string) {
-	switch proxy.Outcome(res.Header.Get(proxy.HeaderOutcome)) {
-	case proxy.NotRun:
+	switch node.Outcome(res.Header.Get(node.HeaderOutcome)) {
+	case node.NotRun:
 		return NotRun, string(got)
-	case proxy.Unknown, proxy.Ran:
+	case node.Unknown, node.Ran:
 		return Unsettled, string(got)
 	}
 	if res.StatusCode != http.StatusOK {
--- a/forward/header.go
+++ b/forward/header.go
@@ -12,12 +12,18 @@
 	RequestID string
 	// Deadline is how many milliseconds an answer is still of use.
 	Deadline string
-	// Signature is a target's mark on its own answers.
-	Signature string
 	// Instance is the only target that may run the request.
 	Instance string
 	// NotRun is on answers of targets that did not run the request.
 	NotRun string
+	// Leaving is on answers of targets that are leaving.
+	Leaving string
+	// IDOptional says that targets may leave the id out of their answers.
+	IDOptional bool
+	// Promises says that 408, 421, 429 and 503 tell callers that a request has not run.
+	Promises bool
+	// Forwarded says that targets are told who asked.
+	Forwarded bool
 }
 
 // hopByHop headers speak of one connection, and are not passed on (RFC 9110, 7.6.1).
--- a/forward/send.go
+++ b/forward/send.go
@@ -39,6 +39,8 @@
 	// ID is what the answer must name, in the header called IDHeader.
 	ID       string
 	IDHeader string
+	// IDOptional says that an answer may leave the id out.
+	IDOptional bool
 	// MaxIdle is how long a connection may have rested to be used.
 	MaxIdle clock.Millis
 }
@@ -52,6 +54,8 @@
 	Rest io.ReadCloser
 	// Length is the body's length if Rest is not nil, or -1.
 	Length int64
+	// Trailer follows a body in chunks, once it has been read.
+	Trailer http.Header
 	// Closing says that the target closes the connection after the answer.
 	Closing bool
 	// Reused says that the request went out on a connection that had rested.
@@ -153,7 +157,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if res.Header.Get(r.IDHeader) == r.ID {
+		id := res.Header.Get(r.IDHeader)
+		if id == r.ID || id == "" && r.IDOptional {
 			return res, nil
 		}
 		x.conn.spoiled = true
@@ -184,7 +189,7 @@
 
 // answer reads the body, or its start if it is large.
 func (x *transfer) answer(res *http.Response) (*Answer, error) {
-	a := &Answer{Status: res.StatusCode, Header: res.Header, Closing: res.Close, Length: -1}
+	a := &Answer{Status: res.StatusCode, Header: res.Header, Closing: res.Close, Length: -1, Trailer: res.Trailer}
 	limit := io.LimitReader(res.Body, wholeBytes)
 	var body bytes.Buffer
 	if res.ContentLength > 0 && res.ContentLength <= wholeBytes {
--- a/node/ask.go
+++ b/node/ask.go
@@ -5,16 +5,22 @@
 	"math/rand/v2"
 	"net/http"
 
-	"github.com/tinladder/tinladder/config"
+	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
-	"github.com/tinladder/tinladder/proxy"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
 
-// AskPath is where callers ask which addresses to use.
+// AskPath is where callers of the fleet's own interface ask which addresses to use.
 const AskPath = "/.tinladder/ask"
 
-// An Answer struct is what callers are told.
+const (
+	// validFor is how long callers may keep an answer.
+	validFor = 2 * clock.Second
+	// fewAddresses is the least addresses in an answer, so that a caller has somewhere else to go.
+	fewAddresses = 2
+)
+
+// An Answer struct is what callers of the fleet's own interface are told.
 type Answer struct {
 	Service string `json:"service"`
 	// Addresses are callers' doors, best first.
@@ -31,89 +37,93 @@
 	Hall    string `json:"hall"`
 }
 
-// ask answers a caller, or passes the question on to a node that serves the service.
-func (n *Node) ask(w http.ResponseWriter, r *http.Request) {
-	n.answerAsk(w, r, false)
-}
-
-// askForPeer answers a question that another node passed on.
-func (n *Node) askForPeer(w http.ResponseWriter, r *http.Request) {
-	n.answerAsk(w, r, true)
+// valid is how long callers may keep an answer.
+func (n *Node) valid() clock.Millis {
+	return min(validFor, n.settings().Bounds.Valid.Millis())
 }
 
-func (n *Node) answerAsk(w http.ResponseWriter, r *http.Request, passed bool) {
-	proxy.Unlimit(w)
-	ws, valid := workspaceOf(r.Header.Get(proxy.HeaderToken))
-	service := r.URL.Query().Get("service")
-	name, named := serviceNamed(service, ws)
+// ask answers a caller of the fleet's own interface.
+func (n *Node) ask(w http.ResponseWriter, r *http.Request) {
+	token := r.Header.Get(HeaderToken)
+	ws, valid := workspaceOf(token)
+	book := n.records.book.Load()
+	space := book.workspaces[ws]
+	name, named := serviceNamed(r.URL.Query().Get("service"), ws)
+	service := ident.Service{Workspace: ws, Name: name}
 	switch {
-	case !valid:
-		n.refuseAsk(w, http.StatusUnauthorized, "token is missing or not valid")
-		return
-	case !named || name == "":
-		n.refuseAsk(w, http.StatusNotFound, "no such service")
-		return
-	}
-	svc := ident.Service{Workspace: ws, Name: name}
-	doc := n.holdings.Get(ident.WorkspaceKey(ws))
-	s := n.guards.get(svc)
-	if doc == nil || s == nil || n.leaving.started() {
-		n.askElsewhere(w, r, svc, passed)
-		return
-	}
-	if !tokenIn(doc.GetWorkspace().GetCallerTokenSha256(), r.Header.Get(proxy.HeaderToken)) {
-		n.refuseAsk(w, http.StatusUnauthorized, "token is missing or not valid")
-		return
+	case n.leaving.started():
+		// A key prefix handed out now would soon have no home.
+		Problem{Status: http.StatusServiceUnavailable, Outcome: NotRun, Detail: "leaving; ask another node"}.Write(w)
+	case !valid || space == nil || !tokenIn(space.doc.GetCallerTokenSha256(), token):
+		Problem{Status: http.StatusUnauthorized, Outcome: NotRun, Detail: "token is missing or not valid"}.Write(w)
+	case !named || book.services[service.String()] == nil:
+		Problem{Status: http.StatusNotFound, Outcome: NotRun, Detail: "no such service"}.Write(w)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(n.answerFor(service, ident.Hall(r.URL.Query().Get("hall"))))
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(n.answerFor(svc, s.serving, r.URL.Query().Get("hall")))
 }
 
-// answerFor lists this node first, since the key prefix is its own, and then the others, those
-// of the caller's hall before the rest.
-func (n *Node) answerFor(svc ident.Service, serving []*tlv1.Member, hall string) Answer {
-	a := Answer{Service: svc.String(), ValidMs: n.settings.Limits.AskValidMs, KeyPrefix: n.ledger.Prefix()}
-	a.Addresses = append(a.Addresses, Address{Address: n.settings.Node.Callers, Hall: n.settings.Node.Hall})
-	others := make([]*tlv1.Member, 0, len(serving))
-	for _, m := range serving {
-		if m.GetNode() != string(n.self.Node) && !m.GetLeaving() {
-			others = append(others, m)
+// answerFor lists this node first, since the key prefix is its own.
+func (n *Node) answerFor(s ident.Service, hall ident.Hall) Answer {
+	a := Answer{Service: s.String(), ValidMs: int64(n.valid()), KeyPrefix: n.ledger.Prefix()}
+	self := n.members.Self()
+	list := []*tlv1.Member{self}
+	for _, m := range n.nodesFor(s.String(), hall) {
+		if m.GetNode() != self.GetNode() {
+			list = append(list, m)
 		}
 	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, near := range []bool{true, false} {
-		for _, m := range others {
-			if (m.GetHall() == hall) == near {
-				a.Addresses = append(a.Addresses, Address{Address: m.GetCallerAddress(), Hall: m.GetHall()})
-			}
-		}
+	for _, m := range list {
+		a.Addresses = append(a.Addresses, Address{Address: m.GetCallerAddress(), Hall: m.GetHall()})
 	}
 	return a
 }
 
-// askElsewhere passes the question on to one of the service's nodes, near the caller if it can.
-func (n *Node) askElsewhere(w http.ResponseWriter, r *http.Request, svc ident.Service, passed bool) {
-	hall := r.URL.Query().Get("hall")
-	var doors, near []string
-	for _, m := range n.view.serving(svc.Key(), config.DefaultNodes) {
-		if m.GetNode() == string(n.self.Node) || m.GetLeaving() {
-			continue
+// directoryDoor tells callers on the users' platform which addresses to use.
+func (n *Node) directoryDoor() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != n.platform.Speech.ResolvePath || r.Method != http.MethodGet {
+			http.NotFound(w, r)
+			return
 		}
-		doors = append(doors, m.GetPeerAddress())
-		if m.GetHall() == hall {
-			near = append(near, m.GetPeerAddress())
+		q := n.platform.Speech.ParseQuestion(r)
+		var addresses []string
+		for _, m := range n.nodesFor(n.serviceOf(q.Host), q.Hall) {
+			addresses = append(addresses, m.GetCallerAddress())
 		}
+		if len(addresses) == 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		n.platform.Speech.WriteAddresses(w, addresses, n.valid())
+	})
+}
+
+// serviceOf returns the service that most requests for the host go to. Hosts that lead nowhere
+// have nodes too, which say so.
+func (n *Node) serviceOf(host string) string {
+	t := n.records.table.Load()
+	if t == nil {
+		return ""
 	}
-	if len(near) > 0 {
-		doors = near
-	}
-	if passed || len(doors) == 0 {
-		n.refuseAsk(w, http.StatusNotFound, "no such service")
-		return
+	routes := t.OfHost(host)
+	if len(routes) == 0 {
+		return ""
 	}
-	n.proxy.Pass(w, r, doors[rand.IntN(len(doors))])
+	return routes[0].Parts[0].Service
 }
 
-func (n *Node) refuseAsk(w http.ResponseWriter, status int, detail string) {
-	proxy.Problem{Status: status, Detail: detail, Outcome: proxy.NotRun}.Write(w)
+// nodesFor returns the nodes that carry the service in the caller's hall, and others if there are
+// too few.
+func (n *Node) nodesFor(service string, hall ident.Hall) []*tlv1.Member {
+	list := n.carriers.inHall(service, hall)
+	halls := n.carriers.halls()
+	rand.Shuffle(len(halls), func(i, j int) { halls[i], halls[j] = halls[j], halls[i] })
+	for _, h := range halls {
+		if h != hall && len(list) < fewAddresses {
+			list = append(list[:len(list):len(list)], n.carriers.inHall(service, h)...)
+		}
+	}
+	return list
 }
--- a/gateway/carriers.go
+++ b/node/carriers.go
@@ -1,4 +1,4 @@
-package gateway
+package node
 
 import (
 	"slices"
@@ -9,7 +9,8 @@
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
 
-// carriersPerHall is how many nodes of each hall carry a service.
+// carriersPerHall is how many nodes of each hall carry a service, unless its document says
+// otherwise.
 const carriersPerHall = 2
 
 // carriers says which nodes carry which service: a few in each hall, so that they see enough of
@@ -25,36 +26,48 @@
 type carrierKey struct {
 	service string
 	hall    ident.Hall
+	count   int
 }
 
 func newCarriers(n *Node) *carriers {
 	return &carriers{node: n, cache: map[carrierKey][]*tlv1.Member{}}
 }
 
-// ready returns the members that may be sent callers, this node too.
+func hallOf(m *tlv1.Member) ident.Hall {
+	return ident.Hall(m.GetHall())
+}
+
+func processOf(m *tlv1.Member) ident.Process {
+	return ident.Process{Node: ident.Node(m.GetNode()), Incarnation: ident.Incarnation(m.GetIncarnation())}
+}
+
+// isReady says whether callers may be sent to the member.
+func isReady(m *tlv1.Member) bool {
+	return !m.GetLeaving() && m.GetState() == tlv1.NodeState_NODE_STATE_ALIVE
+}
+
+// ready returns the members that callers may be sent to, this node too.
 func (c *carriers) ready() []*tlv1.Member {
-	n := c.node
-	var list []*tlv1.Member
-	if !n.leaving.Load() {
-		list = append(list, n.members.Self())
-	}
-	for _, m := range n.members.Live() {
-		if !m.GetLeaving() && m.GetState() == tlv1.NodeState_NODE_STATE_ALIVE {
-			list = append(list, m)
-		}
+	list := slices.DeleteFunc(slices.Clone(c.node.members.Live()), func(m *tlv1.Member) bool { return !isReady(m) })
+	if !c.node.leaving.started() {
+		list = append(list, c.node.members.Self())
 	}
 	return list
 }
 
 // inHall returns the nodes of the hall that carry the service, best first.
 func (c *carriers) inHall(service string, hall ident.Hall) []*tlv1.Member {
+	count := carriersPerHall
+	if n := c.node.records.book.Load().nodes(service); n > 0 {
+		count = (n + max(len(c.halls()), 1) - 1) / max(len(c.halls()), 1)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if v := c.node.members.Version(); v != c.version {
 		c.version = v
 		clear(c.cache)
 	}
-	k := carrierKey{service: service, hall: hall}
+	k := carrierKey{service: service, hall: hall, count: count}
 	list, found := c.cache[k]
 	if !found {
 		list = c.rank(k)
@@ -74,7 +87,7 @@
 	}
 	ranked := assign.Rank(k.service, candidates)
 	var list []*tlv1.Member
-	for _, r := range ranked[:min(len(ranked), carriersPerHall)] {
+	for _, r := range ranked[:min(len(ranked), k.count)] {
 		list = append(list, byNode[r.Node])
 	}
 	return list
--- /dev/null
+++ b/node/duty.go
@@ -0,0 +1,331 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/tinladder/tinladder/assign"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/replica"
+	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+	"github.com/tinladder/tinladder/store"
+)
+
+const (
+	// watchWait is how long a watcher's question to the store waits for changes.
+	watchWait clock.Millis = 2500
+	// confirmEvery is how often a watcher tells its hall what the store holds.
+	confirmEvery clock.Millis = 300
+	// repairEvery is how often each node compares itself with another by chance, and passNews how
+	// many it tells of news that it got from another node.
+	repairEvery = 1 * clock.Second
+	passNews    = 2
+	// staleAfter is how old the last word of the store may be, beyond the wait of a watcher's
+	// question, before a node asks the store itself.
+	staleAfter clock.Millis = 1200
+	// stalePerRank is how much longer each node waits than the one ranked before it, and
+	// staleMost the most of it.
+	stalePerRank clock.Millis = 30
+	staleMost    clock.Millis = 400
+	// dutyCheck is how often a node without the duty looks whether it should take it up.
+	dutyCheck clock.Millis = 100
+	// retryFirst and retryMost bound the pause after a call to the store that failed.
+	retryFirst clock.Millis = 150
+	retryMost  clock.Millis = 1500
+	// settle is how long a change of targets waits for others to come with it.
+	settle clock.Millis = 150
+	// deafFor is how long a node that did not reach the store is passed over for the duty.
+	deafFor = 3 * clock.Second
+	// never stands for an age of what never was.
+	never = -1
+)
+
+// duty decides whether this node watches the store, and spreads what it sees there. A few nodes
+// watch; the others hear from them. A node that has heard nothing for long watches itself.
+type duty struct {
+	node  *Node
+	since clock.Millis
+
+	mu sync.Mutex
+	// confirmed is when the store was last known to hold nothing newer of a kind, whoever asked it.
+	confirmed map[store.Kind]clock.Millis
+	// asked is when this node asked for it itself.
+	asked  map[store.Kind]clock.Millis
+	deafAt map[ident.Process]clock.Millis
+	told   clock.Millis
+	passed clock.Millis
+	failed bool
+}
+
+func newDuty(n *Node) *duty {
+	return &duty{
+		node: n, since: n.clock.Now(), confirmed: map[store.Kind]clock.Millis{},
+		asked: map[store.Kind]clock.Millis{}, deafAt: map[ident.Process]clock.Millis{},
+	}
+}
+
+// age is how long ago the store was last known to hold nothing newer.
+func (d *duty) age(k store.Kind) clock.Millis {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.clock.Now() - max(d.confirmed[k], d.since)
+}
+
+// rank is this node's place in its hall in the order in which nodes watch, from 0.
+func (d *duty) rank() int {
+	n := d.node
+	candidates := []assign.Candidate{{Node: n.self.Node, Weight: memberWeight}}
+	now := n.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, m := range n.members.Live() {
+		if hallOf(m) == n.hall() && isReady(m) && now-d.deafAt[processOf(m)] >= deafFor {
+			candidates = append(candidates, assign.Candidate{Node: ident.Node(m.GetNode()), Weight: memberWeight})
+		}
+	}
+	return assign.Duty("watch", candidates, n.self.Node)
+}
+
+// wanted says whether this node should ask the store for the kind now.
+func (d *duty) wanted(k store.Kind) bool {
+	if d.node.leaving.started() {
+		return false
+	}
+	rank := d.rank()
+	if rank == 0 && d.node.clock.Now()-d.since > staleAfter/2 {
+		return true
+	}
+	return d.age(k) > staleAfter+min(clock.Millis(rank)*stalePerRank, staleMost)
+}
+
+// watch follows a kind of records for as long as this node has the duty.
+func (d *duty) watch(ctx context.Context, k store.Kind) {
+	var mark store.Mark
+	var last clock.Millis
+	wait := retryFirst
+	for ctx.Err() == nil {
+		if !d.wanted(k) {
+			pause(ctx, dutyCheck)
+			continue
+		}
+		if d.node.clock.Now()-last > 2*watchWait {
+			mark = 0 // others may have seen what is no longer in the feed
+		}
+		next, err := d.ask(ctx, k, mark)
+		switch {
+		case err == nil:
+			mark, wait, last = next, retryFirst, d.node.clock.Now()
+			d.answered(k)
+		case errors.Is(err, store.ErrGap):
+			mark = 0
+			d.node.log.WithFields(logrus.Fields{"event": "store_gap", "kind": k}).Warn()
+		default:
+			d.lost(k, err)
+			pause(ctx, wait)
+			wait = min(2*wait, retryMost)
+		}
+	}
+}
+
+// ask reads all records of the kind if there is no mark, or follows it, and spreads what is new.
+func (d *duty) ask(ctx context.Context, k store.Kind, m store.Mark) (next store.Mark, err error) {
+	n := d.node
+	var list, news []replica.Record
+	n.metrics.storeCall(k, m > 0)
+	if m == 0 {
+		list, next, err = n.platform.Source.Read(ctx, k)
+		if err == nil {
+			news = n.records.replace(k, list, next, fromStore)
+		}
+	} else {
+		list, next, err = n.platform.Source.Follow(ctx, k, m, watchWait)
+		if err == nil {
+			news = n.records.put(k, list, fromStore)
+		}
+	}
+	if err != nil || len(news) == 0 {
+		return next, err
+	}
+	d.spread(k, news)
+	pause(ctx, settle)
+	return next, nil
+}
+
+// look reads the kind from the store at once, since something was just written there.
+func (d *duty) look(k store.Kind) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lookTimeout.Duration())
+		defer cancel()
+		if _, err := d.ask(ctx, k, 0); err != nil {
+			d.node.log.WithFields(logrus.Fields{"event": "store_unread", "kind": k, "error": err}).Warn()
+		}
+	}()
+}
+
+// lookTimeout bounds a look at the store.
+const lookTimeout = 2 * clock.Second
+
+// answered notes that the store answered this node.
+func (d *duty) answered(k store.Kind) {
+	d.mu.Lock()
+	now := d.node.clock.Now()
+	regained := d.failed
+	d.failed = false
+	d.confirmed[k], d.asked[k] = now, now
+	delete(d.deafAt, d.node.self)
+	d.mu.Unlock()
+	if regained {
+		d.node.metrics.storeAway(false)
+		d.node.log.WithFields(logrus.Fields{"event": "store_regained", "kind": k}).Info()
+	}
+	d.confirm(false)
+}
+
+// lost notes that the store did not answer this node.
+func (d *duty) lost(k store.Kind, err error) {
+	d.mu.Lock()
+	first := !d.failed
+	d.failed = true
+	d.deafAt[d.node.self] = d.node.clock.Now()
+	d.mu.Unlock()
+	if first {
+		d.node.metrics.storeAway(true)
+		d.node.log.WithFields(logrus.Fields{"event": "store_lost", "kind": k, "error": err}).Warn()
+	}
+	d.confirm(true)
+}
+
+// tick tells the hall now and then what the store holds, for as long as this node watches.
+func (d *duty) tick() {
+	d.mu.Lock()
+	now := d.node.clock.Now()
+	watching := false
+	for _, at := range d.asked {
+		watching = watching || now-at < watchWait+staleAfter
+	}
+	due := watching && now-d.told >= confirmEvery
+	repair := now-d.passed >= repairEvery
+	if repair {
+		d.passed = now
+	}
+	d.mu.Unlock()
+	if due {
+		d.confirm(false)
+	}
+	if repair {
+		d.pass(1)
+	}
+}
+
+// confirm tells this node's hall what is known of the store.
+func (d *duty) confirm(deaf bool) {
+	n := d.node
+	d.mu.Lock()
+	d.told = n.clock.Now()
+	d.mu.Unlock()
+	d.tell(deaf, gossipAddresses(n.members.Live(), func(m *tlv1.Member) bool { return hallOf(m) == n.hall() }))
+}
+
+// announce tells all nodes at once what this one holds.
+func (d *duty) announce() {
+	d.tell(false, gossipAddresses(d.node.members.Live(), func(*tlv1.Member) bool { return true }))
+}
+
+// pass tells a few nodes by chance what this one holds, so that news goes on where a watcher's word
+// was lost.
+func (d *duty) pass(count int) {
+	live := slices.Clone(d.node.members.Live())
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	d.tell(false, gossipAddresses(live[:min(count, len(live))], func(*tlv1.Member) bool { return true }))
+}
+
+func (d *duty) tell(deaf bool, addresses []string) {
+	n := d.node
+	n.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Confirm{Confirm: &tlv1.Confirm{
+		Node: string(n.self.Node), Incarnation: uint64(n.self.Incarnation), Hall: string(n.hall()),
+		PeerAddress: n.settings().Node.PeersAddress(), Kinds: d.kindSums(), Deaf: deaf,
+	}}}, addresses...)
+}
+
+// kindSums says what this node holds of each kind that it follows.
+func (d *duty) kindSums() []*tlv1.KindSum {
+	var list []*tlv1.KindSum
+	for _, k := range d.node.kinds() {
+		s := &tlv1.KindSum{Kind: string(k), Sum: d.node.records.sets[k].Sum(), AgeMs: never}
+		d.mu.Lock()
+		if at := d.confirmed[k]; at > 0 {
+			s.AgeMs = int64(d.node.clock.Now() - at)
+		}
+		d.mu.Unlock()
+		list = append(list, s)
+	}
+	return list
+}
+
+// hear takes in another node's word on the store.
+func (d *duty) hear(c *tlv1.Confirm) {
+	p := ident.Process{Node: ident.Node(c.GetNode()), Incarnation: ident.Incarnation(c.GetIncarnation())}
+	if p.Node == d.node.self.Node {
+		return
+	}
+	d.mu.Lock()
+	if c.GetDeaf() {
+		d.deafAt[p] = d.node.clock.Now()
+	} else {
+		delete(d.deafAt, p)
+	}
+	d.mu.Unlock()
+	if !d.hearKinds(c.GetKinds()) {
+		d.node.peers.sync(c.GetPeerAddress())
+	}
+}
+
+// hearKinds takes in how long ago the store held what another node holds, and says whether this
+// one holds the same.
+func (d *duty) hearKinds(kinds []*tlv1.KindSum) bool {
+	same := true
+	now := d.node.clock.Now()
+	for _, s := range kinds {
+		k := store.Kind(s.GetKind())
+		if !slices.Contains(d.node.kinds(), k) {
+			continue
+		}
+		if d.node.records.sets[k].Sum() != s.GetSum() {
+			same = false
+			continue
+		}
+		if s.GetAgeMs() == never {
+			continue
+		}
+		d.mu.Lock()
+		d.confirmed[k] = max(d.confirmed[k], now-clock.Millis(s.GetAgeMs()))
+		d.mu.Unlock()
+	}
+	return same
+}
+
+const (
+	// recordsPerParcel and bytesPerParcel bound one datagram of records.
+	recordsPerParcel = 8
+	bytesPerParcel   = 4 << 10
+)
+
+// spread tells all nodes of records that are new. Large ones are fetched by those that lack them.
+func (d *duty) spread(k store.Kind, news []replica.Record) {
+	addresses := gossipAddresses(d.node.members.Live(), func(*tlv1.Member) bool { return true })
+	for part := range slices.Chunk(news, recordsPerParcel) {
+		size := 0
+		for _, r := range part {
+			size += len(r.Value)
+		}
+		if size <= bytesPerParcel {
+			d.node.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Records{Records: d.node.records.wire(k, part)}}, addresses...)
+		}
+	}
+	d.announce()
+}
--- a/node/events.go
+++ b/node/events.go
@@ -7,9 +7,8 @@
 
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
-	"github.com/tinladder/tinladder/backing"
-	"github.com/tinladder/tinladder/proxy"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+	"github.com/tinladder/tinladder/store"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -29,15 +28,15 @@
 )
 
 type failureKey struct {
-	service ident.Service
-	outcome proxy.Outcome
+	service string
+	outcome Outcome
 }
 
 // An eventLog keeps what this node did by itself in the object store, for the morning.
 type eventLog struct {
-	self  ident.Process
-	store backing.ObjectStore
-	clock clock.Clock
+	self    ident.Process
+	objects store.Objects
+	clock   clock.Clock
 
 	mu       sync.Mutex
 	pending  []*tlv1.Event
@@ -46,10 +45,12 @@
 	seq      uint64
 	lastSave clock.Millis
 	nodes    int
+	// wanted says that operators read what is saved.
+	wanted bool
 }
 
-func newEventLog(self ident.Process, s backing.ObjectStore, c clock.Clock) *eventLog {
-	return &eventLog{self: self, store: s, clock: c, failures: map[failureKey]uint64{}, nodes: 1}
+func newEventLog(self ident.Process, o store.Objects, c clock.Clock) *eventLog {
+	return &eventLog{self: self, objects: o, clock: c, failures: map[failureKey]uint64{}, nodes: 1}
 }
 
 // add keeps an event until it is saved. When too many wait, the oldest go, and are counted.
@@ -70,13 +71,12 @@
 }
 
 // failed counts a request that ended without a target's whole answer.
-func (l *eventLog) failed(s ident.Service, o proxy.Outcome) {
-	if s.Name == "" {
-		return
-	}
+func (l *eventLog) failed(service string, o Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.failures[failureKey{service: s, outcome: o}]++
+	if len(l.failures) < maxEvents {
+		l.failures[failureKey{service: service, outcome: o}]++
+	}
 }
 
 // setNodes says how many nodes share the platform's write rate.
@@ -98,6 +98,9 @@
 
 // flush saves what is pending. What could not be saved is kept.
 func (l *eventLog) flush(ctx context.Context) {
+	if !l.wanted {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, clock.Second.Duration())
 	defer cancel()
 	l.mu.Lock()
@@ -114,7 +117,7 @@
 	if err != nil {
 		return
 	}
-	if l.store.Put(ctx, backing.Object{Name: name, Value: value}) != nil {
+	if l.objects.Put(ctx, store.Object{Name: name, Value: value}) != nil {
 		return
 	}
 	l.mu.Lock()
@@ -125,10 +128,11 @@
 // gather turns counts into events. The caller holds the lock.
 func (l *eventLog) gather() {
 	for k, n := range l.failures {
-		l.append(&tlv1.Event{
-			Kind: tlv1.EventKind_EVENT_KIND_FAILED_REQUESTS, Workspace: string(k.service.Workspace),
-			Service: k.service.Name, Count: n, Reason: string(k.outcome),
-		})
+		e := &tlv1.Event{Kind: tlv1.EventKind_EVENT_KIND_FAILED_REQUESTS, Service: k.service, Count: n, Reason: string(k.outcome)}
+		if svc, err := ident.ParseService(k.service); err == nil {
+			e.Workspace, e.Service = string(svc.Workspace), svc.Name
+		}
+		l.append(e)
 	}
 	clear(l.failures)
 	if l.lost > 0 {
@@ -154,7 +158,7 @@
 func (l *eventLog) since(ctx context.Context, w ident.Workspace, from clock.Millis) (events []*tlv1.Event, err error) {
 	after := fmt.Sprintf("%s%013d", eventsPrefix, max(from-eventsOverlap, 0))
 	for {
-		objects, err := l.store.List(ctx, eventsPrefix, after, eventsPage)
+		objects, err := l.objects.List(ctx, eventsPrefix, after, eventsPage)
 		if err != nil {
 			return l.own(w, from), err
 		}
--- /dev/null
+++ b/node/front.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+	"github.com/tinladder/tinladder/clock"
+)
+
+// notReadyPause is what callers are told when this node knows no desired state.
+const notReadyPause clock.Millis = 500
+
+// ownPaths is where the fleet's own interface is asked.
+const ownPaths = "/.tinladder/"
+
+// serve serves a caller, of the users' platform or of the fleet's own interface.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
+	n.leaving.enter()
+	defer n.leaving.exit()
+	n.leaving.sendAway(w)
+	r.Header.Del(HeaderPassed)
+	switch {
+	case r.URL.Path == AskPath && r.Method == http.MethodGet:
+		n.ask(w, r)
+	case r.Header.Get(HeaderToken) != "", strings.HasPrefix(r.URL.Path, ownPaths):
+		n.serveOwn(w, r, "")
+	default:
+		n.servePlatform(w, r)
+	}
+}
+
+// servePlatform serves a caller of the users' platform, by host and path.
+func (n *Node) servePlatform(w http.ResponseWriter, r *http.Request) {
+	t := n.records.table.Load()
+	if t == nil {
+		n.refuse(w, r, Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyPause, Detail: "no desired state is known yet"})
+		return
+	}
+	route := t.Find(r.Host, r.URL.EscapedPath())
+	if route == nil {
+		n.refuse(w, r, Problem{Status: http.StatusNotFound, Detail: "no route"})
+		return
+	}
+	if t.Limits.BodyBytes > 0 {
+		if r.ContentLength > t.Limits.BodyBytes {
+			n.refuse(w, r, Problem{Status: http.StatusRequestEntityTooLarge, Detail: "the body is too large"})
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, t.Limits.BodyBytes)
+	}
+	newExchange(n, w, r, route, n.platform.Speech.Headers).serve(noTicket{})
+}
+
+// refuse answers a request that leads nowhere.
+func (n *Node) refuse(w http.ResponseWriter, r *http.Request, p Problem) {
+	if p.Outcome == "" {
+		p.Outcome = NotRun
+	}
+	id := r.Header.Get(HeaderRequestID)
+	if id != "" {
+		w.Header().Set(HeaderRequestID, id)
+	}
+	p.Write(w)
+	n.metrics.refused(p.Status)
+	n.log.WithFields(logrus.Fields{
+		"event": "request_refused", "request": id, "host": r.Host, "path": r.URL.Path,
+		"status": p.Status, "reason": p.Detail, "version": n.stateVersion(),
+	}).Info()
+}
+
+func (n *Node) stateVersion() uint64 {
+	if t := n.records.table.Load(); t != nil {
+		return uint64(t.Version)
+	}
+	return 0
+}
+
+// readinessDoor tells the platform whether callers may be sent here.
+func (n *Node) readinessDoor() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != n.platform.Speech.ReadyPath {
+			http.NotFound(w, r)
+			return
+		}
+		if reason := n.unready(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// unready says why callers may not be sent here, or nothing.
+func (n *Node) unready() string {
+	switch {
+	case n.leaving.started():
+		return "leaving"
+	case n.members.Superseded():
+		return "a later process runs in this node's place"
+	case n.records.table.Load() == nil && n.settings().Node.Operators == "":
+		return "no desired state is known yet"
+	}
+	return ""
+}
--- a/node/leave.go
+++ b/node/leave.go
@@ -1,28 +1,34 @@
 package node
 
 import (
-	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/clock"
 )
 
-// leaveCheck is how often a leaving node looks whether its last request has ended.
-const leaveCheck clock.Millis = 50
+const (
+	// leaveCheck is how often a leaving node looks whether it may end.
+	leaveCheck clock.Millis = 20
+	// acceptShare is the share of the grace period, in hundredths, for which a leaving node takes
+	// connections, and endShare that by which it has ended.
+	acceptShare = 45
+	endShare    = 97
+	hundredths  = 100
+)
 
-// leaving takes the node out of the fleet without cutting a request: it says so, lets the last
-// answer that sent callers here run out, ends the last request, and then closes.
+// leaving takes the node out of the fleet without cutting a request: it says so, serves on those
+// who still come, closes its doors, ends the last request, and then ends.
 type leaving struct {
 	node *Node
 	// asked is closed when an operator tells the node to leave.
 	asked chan struct{}
-
-	mu    sync.Mutex
-	begun bool
 	once  sync.Once
+	begun atomic.Bool
+	busy  atomic.Int64
 }
 
 func newLeaving(n *Node) *leaving {
@@ -35,68 +41,42 @@
 }
 
 func (l *leaving) started() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.begun
+	return l.begun.Load()
 }
 
-func (l *leaving) begin() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.begun = true
-}
-
-// run leaves, and returns once nothing is in flight or the context ends.
-func (l *leaving) run(ctx context.Context) {
-	n := l.node
-	n.log.WithFields(logrus.Fields{"event": "leaving", "node": n.self.Node}).Info()
-	l.begin()
-	n.members.Leave()
-	if !wait(ctx, time.Duration(n.settings.Limits.AskValidMs)*time.Millisecond) {
-		n.log.WithFields(logrus.Fields{"event": "leave_cut_short"}).Warn()
-	}
-	l.drain(ctx)
-	n.seats.release(ctx)
-	n.sendGossip(n.members.Bye())
-}
+// enter and exit count the requests in flight.
+func (l *leaving) enter() { l.busy.Add(1) }
+func (l *leaving) exit()  { l.busy.Add(-1) }
 
-// sendAway has callers leave their connections after the next answer. Idle ones are not closed
+// sendAway has the caller leave its connection after the answer. Idle connections are not closed
 // before the end, since a request may be on its way on them.
-func (l *leaving) sendAway(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if l.started() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
+func (l *leaving) sendAway(w http.ResponseWriter) {
+	if l.started() {
+		w.Header().Set("Connection", "close")
+	}
 }
 
-// drain stops taking connections, and waits for the requests in flight.
-func (l *leaving) drain(ctx context.Context) {
-	var wg sync.WaitGroup
-	for _, s := range l.node.servers {
-		wg.Go(func() { l.shutdown(ctx, s) })
+// run leaves, and returns once nothing is in flight or the grace period is nearly over.
+func (l *leaving) run() {
+	n := l.node
+	grace := n.settings().Bounds.Grace.Millis()
+	n.log.WithFields(logrus.Fields{"event": "leaving", "node": n.self.Node, "grace_ms": grace}).Info()
+	l.begun.Store(true)
+	n.members.Leave()
+	n.duty.announce()
+	n.services.tick()
+	begin := n.clock.Now()
+	for n.clock.Now()-begin < grace*acceptShare/hundredths {
+		time.Sleep(leaveCheck.Duration())
 	}
-	wg.Wait()
-	for l.node.limiter.InUse() > 0 {
-		if !wait(ctx, leaveCheck.Duration()) {
-			return
-		}
+	for _, door := range n.listeners {
+		_ = door.Close()
 	}
-}
-
-func (l *leaving) shutdown(ctx context.Context, s *http.Server) {
-	if err := s.Shutdown(ctx); err != nil {
-		l.node.log.WithFields(logrus.Fields{"event": "leave_cut_requests", "error": err}).Warn()
+	for l.busy.Load() > 0 && n.clock.Now()-begin < grace*endShare/hundredths {
+		time.Sleep(leaveCheck.Duration())
 	}
-}
-
-// wait returns false if the context ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
+	if cut := l.busy.Load(); cut > 0 {
+		n.log.WithFields(logrus.Fields{"event": "leave_cut_requests", "requests": cut}).Warn()
 	}
+	n.sendGossip(n.members.Bye())
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -4,29 +4,31 @@
 	"fmt"
 	stdlog "log"
 	"net/http"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
-	"github.com/tinladder/tinladder/ident"
-	"github.com/tinladder/tinladder/proxy"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/pool"
+	"github.com/tinladder/tinladder/store"
 )
 
 // nodeMetrics are what the node counts, in a set of its own.
 type nodeMetrics struct {
-	set      *metrics.Set
-	took     *metrics.Histogram
-	wireOut  *metrics.Counter
-	tableOut *metrics.Counter
+	set     *metrics.Set
+	took    *metrics.Histogram
+	wireOut *metrics.Counter
+	away    *metrics.Counter
+	version *metrics.Counter
 }
 
 func newMetrics() *nodeMetrics {
 	set := metrics.NewSet()
 	return &nodeMetrics{
-		set:      set,
-		took:     set.NewHistogram("tinladder_request_seconds"),
-		wireOut:  set.NewCounter("tinladder_gossip_sent_bytes_total"),
-		tableOut: set.NewCounter("tinladder_table_away"),
+		set:     set,
+		took:    set.NewHistogram("tinladder_request_seconds"),
+		wireOut: set.NewCounter("tinladder_datagram_sent_bytes_total"),
+		away:    set.NewCounter("tinladder_store_away"),
+		version: set.NewCounter("tinladder_state_version"),
 	}
 }
 
@@ -34,36 +36,42 @@
 	m.wireOut.Add(n)
 }
 
-func (m *nodeMetrics) tableAway(away bool) {
+func (m *nodeMetrics) storeAway(away bool) {
 	if away {
-		m.tableOut.Set(1)
+		m.away.Set(1)
 	} else {
-		m.tableOut.Set(0)
+		m.away.Set(0)
 	}
 }
 
-func (m *nodeMetrics) write(w http.ResponseWriter, _ *http.Request) {
-	m.set.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
+func (m *nodeMetrics) stateVersion(v uint64) {
+	m.version.Set(v)
+}
+
+func (m *nodeMetrics) storeCall(k store.Kind, follow bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_store_calls_total{kind=%q,follow="%v"}`, k, follow)).Inc()
+}
+
+func (m *nodeMetrics) attempt(o pool.Outcome) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_attempts_total{outcome=%q}`, o)).Inc()
+}
+
+func (m *nodeMetrics) belief(k pool.EventKind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_beliefs_total{event=%q}`, k)).Inc()
 }
 
-// An observer counts and reports how requests ended.
-type observer struct {
-	node *Node
+func (m *nodeMetrics) refused(status int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_refused_total{status="%d"}`, status)).Inc()
 }
 
-// Answered counts a target's whole answer.
-func (o *observer) Answered(s ident.Service, status int, took time.Duration) {
-	m := o.node.metrics
-	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_answers_total{service=%q,class="%dxx"}`, s, status/100)).Inc()
-	m.took.Update(took.Seconds())
+func (m *nodeMetrics) ended(status int, took clock.Millis) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_requests_total{status="%d"}`, status)).Inc()
+	m.took.Update(took.Duration().Seconds())
 }
 
-// Failed counts a request without a target's whole answer.
-func (o *observer) Failed(s ident.Service, outcome proxy.Outcome, reason string) {
-	o.node.metrics.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_failures_total{service=%q,outcome=%q}`, s, outcome)).Inc()
-	o.node.events.failed(s, outcome)
-	o.node.log.WithFields(logrus.Fields{"event": "request_failed", "service": s, "outcome": outcome, "reason": reason}).Debug()
+func (m *nodeMetrics) write(w http.ResponseWriter, _ *http.Request) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
 }
 
 // quietLog takes the HTTP server's own messages, such as those of broken connections.
--- a/node/node.go
+++ b/node/node.go
@@ -1,4 +1,4 @@
-// Package node is the daemon: it joins the libraries to the network, the platform and the clock.
+// Package node is the daemon: it joins the libraries to the network, the store and the clock.
 package node
 
 import (
@@ -6,197 +6,208 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"time"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/config"
+	"github.com/tinladder/tinladder/forward"
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/member"
 	"github.com/tinladder/tinladder/once"
-	"github.com/tinladder/tinladder/backing"
-	"github.com/tinladder/tinladder/proxy"
-	"github.com/tinladder/tinladder/route"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"github.com/tinladder/tinladder/settings"
+	"github.com/tinladder/tinladder/store"
 )
 
-// Paces of the node's parts.
 const (
-	gossipEvery  clock.Millis = 100
-	guardEvery   clock.Millis = 40
-	digestEvery               = 1 * clock.Second
-	pollEvery    clock.Millis = 500
-	seatsEvery                = 1 * clock.Second
-	vmListEvery               = 10 * clock.Second
-	membersEvery              = 10 * clock.Second
-	// membersPerNode is how much each node of the fleet adds to the time between comparisons
-	// of whole lists, which keeps them to about a kilobyte a second.
-	membersPerNode clock.Millis = 150
-	purgeEvery                  = 10 * clock.Second
-	eventsEvery                 = 2 * clock.Second
-	headerTimeout               = 10 * clock.Second
-	idleTimeout                 = 2 * clock.Minute
+	// tickEvery is the pace of what is not driven by events.
+	tickEvery clock.Millis = 100
+	// eventsEvery is how often the log of events looks whether to save.
+	eventsEvery = 2 * clock.Second
+	// purgeEvery is how often idle connections are looked through.
+	purgeEvery = 1 * clock.Second
+	// dialTimeout bounds a new connection to a target: far above the way between halls, and low
+	// enough to try another target.
+	dialTimeout clock.Millis = 250
+	// memberWeight is the share of work of each node; all are alike.
+	memberWeight = 100
 )
 
+// memberTiming finds a dead node in about a second and a half, and passes it over in the
+// directory's answers after half of that.
+var memberTiming = member.Timing{
+	ProbeEvery: 400, RelayAfter: 150, SuspectAfter: 400, GoneAfter: 1500, IsolatedAfter: 2500,
+}
+
+// A Platform struct is what the node has of the platform.
+type Platform struct {
+	Source  store.Source
+	Table   store.Table
+	Objects store.Objects
+	Speech  Speech
+}
+
 // A Node struct is one process of the fleet.
 type Node struct {
-	settings *settings.Settings
+	config   atomic.Pointer[settings.Settings]
+	path     string
 	clock    clock.Clock
 	log      *logrus.Logger
+	platform Platform
 	self     ident.Process
-	platform backing.Platform
 	keys     *keyring
 	metrics  *nodeMetrics
 
 	members  *member.Table
-	view     *view
-	holdings *config.Holdings
+	records  *records
+	services *services
+	carriers *carriers
+	duty     *duty
+	wire     *wire
+	peers    *peers
+	conns    *forward.Conns
+	limiter  *limiter
+	ledger   *once.Ledger
 	configs  config.Log
 	writer   config.Writer
-	ledger   *once.Ledger
-	limiter  *route.Limiter
-	conns    *proxy.Conns
-	proxy    *proxy.Handler
-	guards   *guards
 	events   *eventLog
-	spread   *spread
-	poller   *poller
-	seats    *seatKeeper
-	peers    *peerClients
 	leaving  *leaving
 
-	wire      *wire
-	mergedAt  clock.Millis
-	vmsReadAt clock.Millis
 	servers   []*http.Server
 	listeners []net.Listener
 	done      chan struct{}
 }
 
-// New returns a node that listens at its addresses, and serves nobody yet.
-func New(s *settings.Settings, p backing.Platform, c clock.Clock, log *logrus.Logger) (n *Node, err error) {
+// New returns a node that listens at its addresses, and serves nobody yet. It reads the settings
+// again from the path when they change.
+func New(s *settings.Settings, path string, p Platform, c clock.Clock, log *logrus.Logger) (n *Node, err error) {
 	defer func() { err = errors.Wrap(err, "new node") }()
 	n = &Node{
-		settings: s,
-		clock:    c,
-		log:      log,
-		platform: p,
-		keys:     newKeyring(s.Fleet.KeyBytes()),
-		metrics:  newMetrics(),
-		holdings: config.NewHoldings(),
-		configs:  config.NewLog(p),
-		writer:   config.NewWriter(p, c),
-		limiter:  route.NewLimiter(s.Limits.Requests),
-		conns:    proxy.NewConns(c),
-		done:     make(chan struct{}),
+		path: path, clock: c, log: log, platform: p,
+		self:    ident.Process{Node: ident.Node(s.Node.Name), Incarnation: ident.Incarnation(c.Now())},
+		keys:    newKeyring(s.Fleet.KeyBytes()),
+		metrics: newMetrics(),
+		conns:   forward.NewConns(c, dialTimeout),
+		limiter: newLimiter(s.Limits.Requests),
+		configs: config.NewLog(p.Table),
+		writer:  config.NewWriter(p.Table, c),
+		done:    make(chan struct{}),
 	}
+	n.config.Store(s)
 	n.build()
 	return n, n.listen()
 }
 
 // build makes the parts that need each other.
 func (n *Node) build() {
-	s := n.settings.Node
-	n.self = ident.Process{Node: ident.Node(s.Name), Incarnation: ident.Incarnation(n.clock.Now())}
+	s := n.settings()
 	self := &tlv1.Member{
-		Node: s.Name, Incarnation: uint64(n.self.Incarnation), Hall: s.Hall, Weight: s.Weight,
-		GossipAddress: s.GossipAddress(), PeerAddress: s.PeersAddress(),
-		CallerAddress: s.Callers, OperatorAddress: s.Operators,
+		Node: s.Node.Name, Incarnation: uint64(n.self.Incarnation), Hall: s.Node.Hall, Weight: memberWeight,
+		GossipAddress: s.Node.PeersAddress(), PeerAddress: s.Node.PeersAddress(), CallerAddress: s.Node.Callers,
 	}
-	n.members = member.New(self, member.DefaultTiming, n.clock, newRand())
-	n.members.Seed(n.settings.Fleet.Seeds)
-	n.view = newView(n.members)
+	n.members = member.New(self, memberTiming, n.clock, newRand())
+	n.members.Seed(s.Fleet.Seeds)
 	n.ledger = once.NewLedger(n.self, once.DefaultLimits, n.clock, newRand())
-	n.peers = newPeerClients(n.keys)
-	n.events = newEventLog(n.self, n.platform, n.clock)
-	n.guards = newGuards(n)
-	n.spread = newSpread(n)
-	n.poller = newPoller(n)
-	n.seats = newSeatKeeper(n)
+	n.records = newRecords(n)
+	n.services = newServices(n)
+	n.carriers = newCarriers(n)
+	n.peers = newPeers(n)
+	n.duty = newDuty(n)
+	n.events = newEventLog(n.self, n.platform.Objects, n.clock)
+	n.events.wanted = s.Node.Operators != ""
 	n.leaving = newLeaving(n)
-	n.proxy = proxy.NewHandler(proxy.Config{
-		Directory: &directory{node: n},
-		Ledger:    n.ledger,
-		Limiter:   n.limiter,
-		Conns:     n.conns,
-		Clock:     n.clock,
-		Observer:  &observer{node: n},
-		PeerKey:   n.keys.doorKey,
-		MaxBody:   n.settings.Limits.BodyBytes,
-	})
+}
+
+// settings returns the settings in force.
+func (n *Node) settings() *settings.Settings {
+	return n.config.Load()
+}
+
+// hall returns the hall that the node is in.
+func (n *Node) hall() ident.Hall {
+	return ident.Hall(n.settings().Node.Hall)
 }
 
 func newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
+// A door is where the node listens for one kind of visitors.
+type door struct {
+	address string
+	server  *http.Server
+}
+
+func (n *Node) doors() []door {
+	s := n.settings().Node
+	list := []door{
+		{s.Callers, n.callersServer()},
+		{s.Peers, &http.Server{Handler: n.peersDoor()}},
+		{s.Readiness, &http.Server{Handler: n.readinessDoor()}},
+		{s.Directory, &http.Server{Handler: n.directoryDoor()}},
+		{s.Operators, &http.Server{Handler: n.operatorsDoor()}},
+		{s.Metrics, &http.Server{Handler: http.HandlerFunc(n.metrics.write)}},
+	}
+	open := list[:0]
+	for _, d := range list {
+		if d.address != "" {
+			open = append(open, d)
+		}
+	}
+	return open
+}
+
 func (n *Node) listen() (err error) {
-	n.wire, err = listenWire(n.settings.Node.Gossip, n.keys, n.metrics.controlBytes)
-	if err != nil {
+	defer func() {
+		if err != nil {
+			n.close()
+		}
+	}()
+	if n.wire, err = listenWire(n.settings().Node.Peers, n.keys, n.metrics.controlBytes); err != nil {
 		return err
 	}
-	doors := []struct {
-		address string
-		handler http.Handler
-	}{
-		{n.settings.Node.Peers, n.peersDoor()},
-		{n.settings.Node.Callers, n.callersDoor()},
-		{n.settings.Node.Operators, n.operatorsDoor()},
-	}
-	for _, d := range doors {
+	for _, d := range n.doors() {
 		l, err := net.Listen("tcp", d.address)
 		if err != nil {
-			n.close()
 			return err
 		}
+		if d.address == n.settings().Node.Callers {
+			l = &callerListener{Listener: l, node: n}
+		}
+		d.server.ErrorLog = quietLog(n.log)
 		n.listeners = append(n.listeners, l)
-		n.servers = append(n.servers, n.server(d.handler))
+		n.servers = append(n.servers, d.server)
 	}
 	return nil
 }
 
-func (n *Node) server(h http.Handler) *http.Server {
-	var protocols http.Protocols
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           h,
-		Protocols:         &protocols,
-		ReadHeaderTimeout: headerTimeout.Duration(),
-		IdleTimeout:       idleTimeout.Duration(),
-		MaxHeaderBytes:    n.settings.Limits.HeaderBytes,
-		ErrorLog:          quietLog(n.log),
-	}
-}
-
-// Run serves until the context ends, then leaves: it cuts no request in flight, unless leaving
-// takes longer than the grace.
-func (n *Node) Run(ctx context.Context, grace time.Duration) (err error) {
+// Run serves until the context ends, then leaves without cutting a request.
+func (n *Node) Run(ctx context.Context) (err error) {
 	defer close(n.done)
 	failed := make(chan error, len(n.servers))
 	for i, s := range n.servers {
 		go func() { failed <- s.Serve(n.listeners[i]) }()
 	}
-	background := context.WithoutCancel(ctx)
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
 	parts := n.startParts(background)
-	n.log.WithFields(logrus.Fields{"event": "started", "node": n.self.Node, "hall": n.settings.Node.Hall}).Info()
+	n.log.WithFields(logrus.Fields{"event": "started", "node": n.self.Node, "process": n.self, "hall": n.hall()}).Info()
 	select {
 	case <-ctx.Done():
 	case <-n.leaving.asked:
 	case err = <-failed:
 	}
 	if err == nil {
-		leaveCtx, cancel := context.WithTimeout(background, grace)
-		n.leaving.run(leaveCtx)
-		cancel()
+		n.leaving.run()
+		n.events.flush(background)
 	}
+	cancel()
+	n.close()
 	for _, p := range parts {
 		p.end()
 	}
-	n.events.flush(background)
-	n.close()
 	n.log.WithFields(logrus.Fields{"event": "stopped", "node": n.self.Node}).Info()
 	return errors.Wrap(err, "serve")
 }
@@ -207,18 +218,38 @@
 }
 
 func (n *Node) startParts(ctx context.Context) []*part {
-	return []*part{
-		start(ctx, "receive", n.receive),
-		every(ctx, "gossip", gossipEvery, n.gossip),
-		every(ctx, "guards", guardEvery, n.guards.tick),
-		every(ctx, "digest", digestEvery, n.spread.tell),
-		every(ctx, "poll", pollEvery, n.poller.poll),
-		every(ctx, "seats", seatsEvery, n.seats.tick),
-		every(ctx, "vms", vmListEvery, n.readVMs),
-		every(ctx, "members", membersEvery, n.mergeMembers),
-		every(ctx, "purge", purgeEvery, func(context.Context) { n.conns.Purge() }),
-		every(ctx, "events", eventsEvery, n.events.tick),
+	parts := []*part{
+		start(ctx, n.receive),
+		start(ctx, n.followSettings),
+		every(ctx, tickEvery, n.tick),
+		every(ctx, purgeEvery, func(context.Context) { n.conns.Purge() }),
 	}
+	for _, k := range n.kinds() {
+		parts = append(parts, start(ctx, func(ctx context.Context) { n.duty.watch(ctx, k) }))
+	}
+	if n.settings().Node.Operators != "" {
+		parts = append(parts, every(ctx, eventsEvery, n.events.tick))
+	}
+	return parts
+}
+
+// kinds are the kinds of records that the node follows. Documents are followed where operators can
+// write them.
+func (n *Node) kinds() []store.Kind {
+	kinds := []store.Kind{store.State, store.Targets}
+	if n.settings().Node.Operators != "" {
+		kinds = append(kinds, store.Documents)
+	}
+	return kinds
+}
+
+// tick moves on what is not driven by events.
+func (n *Node) tick(context.Context) {
+	n.sendGossip(n.members.Tick())
+	n.duty.tick()
+	n.peers.tick()
+	n.services.tick()
+	n.events.setNodes(len(n.members.Live()) + 1)
 }
 
 func (n *Node) close() {
@@ -232,8 +263,3 @@
 		_ = l.Close()
 	}
 }
-
-// callTimeout bounds a call to the platform or a peer.
-func (n *Node) callTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, time.Duration(n.settings.Platform.TimeoutMs)*time.Millisecond)
-}
--- a/node/operators.go
+++ b/node/operators.go
@@ -16,10 +16,11 @@
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/config"
 	"github.com/tinladder/tinladder/ident"
-	"github.com/tinladder/tinladder/backing"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"github.com/tinladder/tinladder/schema/tinladder/v1/tinladderv1connect"
+	"github.com/tinladder/tinladder/store"
 	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -57,11 +58,7 @@
 
 // ready says whether callers may be sent here.
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
-	reason := (&directory{node: n}).Refuses()
-	if n.leaving.started() {
-		reason = "leaving"
-	}
-	if reason != "" {
+	if reason := n.unready(); reason != "" {
 		http.Error(w, reason, http.StatusServiceUnavailable)
 		return
 	}
@@ -108,7 +105,7 @@
 		return operator{}, connect.NewError(connect.CodeUnauthenticated, errors.New("token is missing"))
 	}
 	sum := sha256.Sum256([]byte(token))
-	admin, _ := hex.DecodeString(s.node.settings.Operators.AdminTokenSHA256) // checked with the settings
+	admin, _ := hex.DecodeString(s.node.settings().Operators.AdminTokenSHA256) // checked with the settings
 	if subtle.ConstantTimeCompare(sum[:], admin) == 1 {
 		return operator{admin: true, name: "admin"}, nil
 	}
@@ -127,34 +124,32 @@
 	return operator{workspace: w, name: name}, nil
 }
 
-// document reads a document from the table, or what nodes hold while the table is away.
+// document reads a document from the store, or what nodes hold while the store is away.
 func (s *operatorServer) document(ctx context.Context, k ident.Key) (*tlv1.Document, error) {
-	ctx, cancel := s.node.callTimeout(ctx)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 	defer cancel()
 	d, err := s.node.configs.Document(ctx, k)
 	if err == nil {
 		return d, nil
 	}
-	if held := s.node.held(ctx, k); held != nil {
+	if held := s.node.held(k); held != nil {
 		return held, nil
 	}
 	return nil, connect.NewError(connect.CodeUnavailable, err)
 }
 
-// held returns the document from this node or from one that holds it.
-func (n *Node) held(ctx context.Context, k ident.Key) *tlv1.Document {
-	if d := n.holdings.Get(k); d != nil {
-		return d
-	}
-	for _, m := range n.view.holders(k, nil) {
-		ctx, cancel := n.callTimeout(context.WithoutCancel(ctx))
-		res, err := n.peers.client(m.GetPeerAddress()).Fetch(ctx, connect.NewRequest(&tlv1.FetchRequest{Keys: []string{string(k)}}))
-		cancel()
-		if err == nil && len(res.Msg.GetDocuments()) == 1 {
-			return res.Msg.GetDocuments()[0]
-		}
+// readTimeout bounds an operator's read of the store.
+const readTimeout = 1 * clock.Second
+
+// held returns the document that this node holds, or nil.
+func (n *Node) held(k ident.Key) *tlv1.Document {
+	r, found := n.records.sets[store.Documents].Get(string(k))
+	d := &tlv1.Document{}
+	if !found || proto.Unmarshal(r.Value, d) != nil {
+		return nil
 	}
-	return nil
+	d.Key = string(k)
+	return d
 }
 
 // Apply makes a change.
@@ -184,7 +179,7 @@
 		return nil, rpcError(err)
 	}
 	s.node.log.WithFields(logrus.Fields{"event": "config_changed", "key": doc.GetKey(), "version": c.GetSeq(), "who": op.name}).Info()
-	s.node.spread.push(context.WithoutCancel(ctx), []*tlv1.Document{c.GetDocument()})
+	s.node.duty.look(store.Documents)
 	return connect.NewResponse(&tlv1.ApplyResponse{Change: c}), nil
 }
 
@@ -242,7 +237,7 @@
 		return connect.NewError(connect.CodeFailedPrecondition, err)
 	case errors.Is(err, config.ErrUndecided):
 		return connect.NewError(connect.CodeUnknown, err)
-	case errors.Is(err, backing.ErrAway):
+	case errors.Is(err, store.ErrAway):
 		return connect.NewError(connect.CodeUnavailable, err)
 	}
 	return connect.NewError(connect.CodeInternal, err)
@@ -347,36 +342,20 @@
 	return connect.NewResponse(&tlv1.ReportResponse{Events: events, Unsaved: err != nil}), nil
 }
 
-// InForce says which version each of the service's nodes uses.
+// InForce says which version each live node uses.
 func (s *operatorServer) InForce(ctx context.Context, req *connect.Request[tlv1.InForceRequest]) (*connect.Response[tlv1.InForceResponse], error) {
 	if err := s.authorize(ctx, req.Header(), req.Msg.GetWorkspace()); err != nil {
 		return nil, err
 	}
 	k := keyFor(req.Msg.GetWorkspace(), req.Msg.GetService())
 	res := &tlv1.InForceResponse{}
-	for _, m := range s.node.view.holders(k, s.node.held(ctx, k)) {
-		res.Nodes = append(res.Nodes, s.inForceAt(ctx, m, k))
+	res.Nodes = append(res.Nodes, &tlv1.InForce{Node: string(s.node.self.Node), Version: s.node.held(k).GetVersion(), Reached: true})
+	for _, m := range s.node.members.Live() {
+		res.Nodes = append(res.Nodes, s.node.peers.inForceAt(ctx, m, k))
 	}
 	return connect.NewResponse(res), nil
 }
 
-func (s *operatorServer) inForceAt(ctx context.Context, m *tlv1.Member, k ident.Key) *tlv1.InForce {
-	if m.GetNode() == string(s.node.self.Node) {
-		return &tlv1.InForce{Node: m.GetNode(), Version: s.node.holdings.Get(k).GetVersion(), Reached: true}
-	}
-	ctx, cancel := s.node.callTimeout(ctx)
-	defer cancel()
-	res, err := s.node.peers.client(m.GetPeerAddress()).Fetch(ctx, connect.NewRequest(&tlv1.FetchRequest{Keys: []string{string(k)}}))
-	if err != nil {
-		return &tlv1.InForce{Node: m.GetNode()}
-	}
-	f := &tlv1.InForce{Node: m.GetNode(), Reached: true}
-	for _, d := range res.Msg.GetDocuments() {
-		f.Version = d.GetVersion()
-	}
-	return f
-}
-
 // Status tells administrators of the whole node, and others of their own services on it.
 func (s *operatorServer) Status(ctx context.Context, req *connect.Request[tlv1.StatusRequest]) (*connect.Response[tlv1.StatusResponse], error) {
 	op, err := s.operator(ctx, req.Header())
@@ -384,7 +363,7 @@
 		return nil, err
 	}
 	n := s.node
-	res := &tlv1.StatusResponse{Node: string(n.self.Node), Hall: n.settings.Node.Hall, State: "serving"}
+	res := &tlv1.StatusResponse{Node: string(n.self.Node), Hall: string(n.hall()), State: "serving"}
 	if n.leaving.started() {
 		res.State = "leaving"
 	}
@@ -395,14 +374,16 @@
 		}
 		res.Peers = append(res.Peers, &tlv1.PeerStatus{Node: m.GetNode(), Hall: m.GetHall(), State: state})
 	}
-	for _, sv := range n.guards.all() {
-		if !op.may(string(sv.name.Workspace)) {
+	book := n.records.book.Load()
+	for _, sv := range n.services.all() {
+		svc, err := ident.ParseService(sv.name)
+		if err != nil && !op.admin || err == nil && !op.may(string(svc.Workspace)) {
 			continue
 		}
-		res.Services = append(res.Services, &tlv1.ServiceStatus{Service: sv.name.String(), Version: sv.doc.GetVersion()})
-		for _, t := range sv.Status() {
+		res.Services = append(res.Services, &tlv1.ServiceStatus{Service: sv.name, Version: book.services[sv.name].GetVersion()})
+		for _, t := range sv.pool.Status() {
 			res.Targets = append(res.Targets, &tlv1.TargetStatus{
-				Service: sv.name.String(), Target: string(t.Target), State: t.Condition.String(), InFlight: uint32(t.InFlight),
+				Service: sv.name, Target: string(t.Target), State: t.Condition.String(), InFlight: uint32(t.InFlight),
 			})
 		}
 	}
--- a/node/part.go
+++ b/node/part.go
@@ -9,15 +9,14 @@
 
 // A part is something that runs in the background until told to stop. Done is closed at its end.
 type part struct {
-	name string
 	stop context.CancelFunc
 	done chan struct{}
 }
 
 // start runs f as a part.
-func start(ctx context.Context, name string, f func(ctx context.Context)) *part {
+func start(ctx context.Context, f func(ctx context.Context)) *part {
 	ctx, cancel := context.WithCancel(ctx)
-	p := &part{name: name, stop: cancel, done: make(chan struct{})}
+	p := &part{stop: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(p.done)
 		f(ctx)
@@ -26,8 +25,8 @@
 }
 
 // every starts a part that calls f again and again.
-func every(ctx context.Context, name string, d clock.Millis, f func(ctx context.Context)) *part {
-	return start(ctx, name, func(ctx context.Context) {
+func every(ctx context.Context, d clock.Millis, f func(ctx context.Context)) *part {
+	return start(ctx, func(ctx context.Context) {
 		t := time.NewTicker(d.Duration())
 		defer t.Stop()
 		for {
@@ -46,3 +45,15 @@
 	p.stop()
 	<-p.done
 }
+
+// pause waits, and returns false if the context ends first.
+func pause(ctx context.Context, d clock.Millis) bool {
+	t := time.NewTimer(d.Duration())
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -2,50 +2,49 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/gorilla/mux"
-	"github.com/tinladder/tinladder/assign"
+	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
-	"github.com/tinladder/tinladder/proxy"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"github.com/tinladder/tinladder/schema/tinladder/v1/tinladderv1connect"
+	"github.com/tinladder/tinladder/store"
 )
 
-// peerClients holds a client for each peer's door.
-type peerClients struct {
+const (
+	// syncTimeout bounds a comparison with another node.
+	syncTimeout clock.Millis = 400
+	// syncPause is the least time between two comparisons that a difference asks for.
+	syncPause clock.Millis = 50
+	// mergeEvery is how often a node compares itself with another without a reason.
+	mergeEvery = 15 * clock.Second
+	// peerIdle is how long connections to other nodes are kept.
+	peerIdle = 5 * time.Second
+)
+
+// peers compares this node with others: members, and records.
+type peers struct {
+	node *Node
 	http *http.Client
 
-	mu      sync.Mutex
-	clients map[string]tinladderv1connect.PeerServiceClient
+	mu       sync.Mutex
+	syncing  bool
+	syncedAt clock.Millis
+	mergedAt clock.Millis
+	joined   bool
 }
 
-// maxPeerClients bounds the clients kept; they are cheap to make anew.
-const maxPeerClients = 512
-
-func newPeerClients(k *keyring) *peerClients {
+func newPeers(n *Node) *peers {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.Proxy = nil
-	return &peerClients{
-		http:    &http.Client{Transport: &doorTransport{base: t, keys: k}},
-		clients: map[string]tinladderv1connect.PeerServiceClient{},
-	}
-}
-
-func (p *peerClients) client(address string) tinladderv1connect.PeerServiceClient {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c := p.clients[address]
-	if c == nil {
-		if len(p.clients) >= maxPeerClients {
-			clear(p.clients)
-		}
-		c = tinladderv1connect.NewPeerServiceClient(p.http, "http://"+address)
-		p.clients[address] = c
-	}
-	return c
+	t.IdleConnTimeout = peerIdle
+	c := &http.Client{Transport: &doorTransport{base: t, keys: n.keys}}
+	return &peers{node: n, http: c, mergedAt: n.clock.Now()}
 }
 
 // A doorTransport proves this node to peers.
@@ -57,89 +56,116 @@
 // RoundTrip implements http.RoundTripper.
 func (t *doorTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
-	r.Header.Set(proxy.HeaderPeerKey, t.keys.doorKey())
+	r.Header.Set(HeaderPeerKey, t.keys.doorKey())
 	return t.base.RoundTrip(r)
 }
 
 // peersDoor serves other nodes only.
 func (n *Node) peersDoor() http.Handler {
 	m := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	path, h := tinladderv1connect.NewPeerServiceHandler(&peerServer{node: n})
+	path, h := tinladderv1connect.NewFleetServiceHandler(n.peers)
 	m.PathPrefix(path).Handler(h)
-	m.Path(AskPath).HandlerFunc(n.askForPeer)
-	m.PathPrefix("/").HandlerFunc(n.proxy.Peer)
-	return n.peersOnly(m)
-}
-
-func (n *Node) peersOnly(next http.Handler) http.Handler {
+	m.PathPrefix("/").HandlerFunc(n.serveForPeer)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !n.keys.opensDoor(r.Header.Get(proxy.HeaderPeerKey)) {
+		if !n.keys.opensDoor(r.Header.Get(HeaderPeerKey)) {
 			http.Error(w, "peers only", http.StatusForbidden)
 			return
 		}
-		next.ServeHTTP(w, r)
+		m.ServeHTTP(w, r)
 	})
 }
 
-// callersDoor serves callers.
-func (n *Node) callersDoor() http.Handler {
-	m := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	m.Path(AskPath).Methods(http.MethodGet).HandlerFunc(n.ask)
-	m.PathPrefix("/").Handler(n.proxy)
-	return n.leaving.sendAway(m)
+// Sync implements the service that other nodes call.
+func (p *peers) Sync(_ context.Context, req *connect.Request[tlv1.SyncRequest]) (*connect.Response[tlv1.SyncResponse], error) {
+	n := p.node
+	n.members.Merge(req.Msg.GetMembers())
+	res := &tlv1.SyncResponse{Members: n.members.All(), Kinds: n.duty.kindSums(), Reports: n.services.reports()}
+	for _, theirs := range req.Msg.GetKinds() {
+		k := store.Kind(theirs.GetKind())
+		if set := n.records.sets[k]; set != nil && set.Sum() != theirs.GetSum() {
+			res.Records = append(res.Records, n.records.wire(k, set.All()))
+		}
+	}
+	return connect.NewResponse(res), nil
 }
 
-type peerServer struct {
-	node *Node
+// met compares this node with the first other one that it hears from.
+func (p *peers) met(m *tlv1.Member) {
+	p.mu.Lock()
+	joined := p.joined
+	p.mu.Unlock()
+	if !joined && m.GetNode() != string(p.node.self.Node) && m.GetPeerAddress() != "" {
+		p.sync(m.GetPeerAddress())
+	}
 }
 
-// Push takes in documents.
-func (s *peerServer) Push(_ context.Context, req *connect.Request[tlv1.PushRequest]) (*connect.Response[tlv1.PushResponse], error) {
-	res := &tlv1.PushResponse{}
-	for _, d := range req.Msg.GetDocuments() {
-		s.node.spread.put(d)
-		held := s.node.holdings.Get(ident.Key(d.GetKey()))
-		res.Held = append(res.Held, &tlv1.Held{Key: d.GetKey(), Version: held.GetVersion()})
+// tick compares this node with another now and then.
+func (p *peers) tick() {
+	now := p.node.clock.Now()
+	p.mu.Lock()
+	due := now-p.mergedAt >= mergeEvery
+	if due {
+		p.mergedAt = now
+	}
+	p.mu.Unlock()
+	if live := p.node.members.Live(); due && len(live) > 0 {
+		p.sync(live[rand.IntN(len(live))].GetPeerAddress())
 	}
-	s.node.guards.follow()
-	return connect.NewResponse(res), nil
 }
 
-// Exchange compares all documents of some shards.
-func (s *peerServer) Exchange(_ context.Context, req *connect.Request[tlv1.ExchangeRequest]) (*connect.Response[tlv1.ExchangeResponse], error) {
-	theirs := map[ident.Key]ident.Version{}
-	for _, h := range req.Msg.GetHeld() {
-		theirs[ident.Key(h.GetKey())] = ident.Version(h.GetVersion())
+// sync compares this node with the one at the address, in the background, one at a time.
+func (p *peers) sync(address string) {
+	now := p.node.clock.Now()
+	p.mu.Lock()
+	if p.syncing || now-p.syncedAt < syncPause {
+		p.mu.Unlock()
+		return
 	}
-	res := &tlv1.ExchangeResponse{}
-	for _, shard := range req.Msg.GetShards() {
-		for _, d := range s.node.holdings.InShard(assign.Shard(shard)) {
-			if ident.Version(d.GetVersion()) > theirs[ident.Key(d.GetKey())] {
-				res.Newer = append(res.Newer, d)
-			}
-		}
+	p.syncing, p.syncedAt = true, now
+	p.mu.Unlock()
+	go func() {
+		ok := p.syncWith(address)
+		p.mu.Lock()
+		p.syncing = false
+		p.joined = p.joined || ok
+		p.mu.Unlock()
+	}()
+}
+
+func (p *peers) syncWith(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout.Duration())
+	defer cancel()
+	n := p.node
+	c := tinladderv1connect.NewFleetServiceClient(p.http, "http://"+address)
+	res, err := c.Sync(ctx, connect.NewRequest(&tlv1.SyncRequest{Kinds: n.duty.kindSums(), Members: n.members.All()}))
+	if err != nil {
+		return false
 	}
-	for k, v := range theirs {
-		if ident.Version(s.node.holdings.Get(k).GetVersion()) < v {
-			res.Wanted = append(res.Wanted, string(k))
-		}
+	n.members.Merge(res.Msg.GetMembers())
+	for _, r := range res.Msg.GetRecords() {
+		n.records.hear(r, address)
 	}
-	return connect.NewResponse(res), nil
+	for _, r := range res.Msg.GetReports() {
+		n.services.hear(r)
+	}
+	n.duty.hearKinds(res.Msg.GetKinds())
+	return true
 }
 
-// Fetch gives the documents held here.
-func (s *peerServer) Fetch(_ context.Context, req *connect.Request[tlv1.FetchRequest]) (*connect.Response[tlv1.FetchResponse], error) {
-	res := &tlv1.FetchResponse{}
-	for _, k := range req.Msg.GetKeys() {
-		if d := s.node.holdings.Get(ident.Key(k)); d != nil {
-			res.Documents = append(res.Documents, d)
-		}
+// inForceAt asks another node which version of a document it uses.
+func (p *peers) inForceAt(ctx context.Context, m *tlv1.Member, k ident.Key) *tlv1.InForce {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout.Duration())
+	defer cancel()
+	c := tinladderv1connect.NewFleetServiceClient(p.http, "http://"+m.GetPeerAddress())
+	res, err := c.Held(ctx, connect.NewRequest(&tlv1.HeldRequest{Key: string(k)}))
+	if err != nil {
+		return &tlv1.InForce{Node: m.GetNode()}
 	}
-	return connect.NewResponse(res), nil
+	return &tlv1.InForce{Node: m.GetNode(), Version: res.Msg.GetVersion(), Reached: true}
 }
 
-// Members compares lists of members.
-func (s *peerServer) Members(_ context.Context, req *connect.Request[tlv1.MembersRequest]) (*connect.Response[tlv1.MembersResponse], error) {
-	s.node.members.Merge(req.Msg.GetMembers())
-	return connect.NewResponse(&tlv1.MembersResponse{Members: s.node.members.All()}), nil
+// Held implements the service that other nodes call.
+func (p *peers) Held(_ context.Context, req *connect.Request[tlv1.HeldRequest]) (*connect.Response[tlv1.HeldResponse], error) {
+	v := p.node.held(ident.Key(req.Msg.GetKey())).GetVersion()
+	return connect.NewResponse(&tlv1.HeldResponse{Version: v}), nil
 }
--- /dev/null
+++ b/node/records.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/desired"
+	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/replica"
+	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+	"github.com/tinladder/tinladder/store"
+	"google.golang.org/protobuf/proto"
+)
+
+// fromStore names the store as the origin of news.
+const fromStore = "store"
+
+// records holds this node's copy of what the store has, ready for use.
+type records struct {
+	node *Node
+	sets map[store.Kind]*replica.Set
+	// table is the desired state of the platform's operators, book that of the fleet's own.
+	table atomic.Pointer[desired.Table]
+	book  atomic.Pointer[book]
+	// mu keeps changes from being taken over out of order.
+	mu sync.Mutex
+}
+
+func newRecords(n *Node) *records {
+	r := &records{node: n, sets: map[store.Kind]*replica.Set{}}
+	for _, k := range []store.Kind{store.State, store.Targets, store.Documents} {
+		r.sets[k] = replica.New(n.clock)
+	}
+	r.book.Store(newBook(nil))
+	return r
+}
+
+// put takes in records that are newer than those held, and returns them.
+func (r *records) put(k store.Kind, list []replica.Record, from string) []replica.Record {
+	if r.sets[k] == nil || len(list) == 0 {
+		return nil
+	}
+	news := r.sets[k].Put(list)
+	r.takeOver(k, news, from)
+	return news
+}
+
+// replace takes in all records that the store has, as read at the mark.
+func (r *records) replace(k store.Kind, list []replica.Record, m store.Mark, from string) []replica.Record {
+	news := r.sets[k].Replace(list, uint64(m))
+	r.takeOver(k, news, from)
+	return news
+}
+
+// takeOver puts new records in force.
+func (r *records) takeOver(k store.Kind, news []replica.Record, from string) {
+	if len(news) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch k {
+	case store.State:
+		r.takeState(from)
+	case store.Documents:
+		r.book.Store(newBook(r.sets[k].Live()))
+		r.node.log.WithFields(logrus.Fields{"event": "documents_in_force", "from": from, "new": len(news)}).Info()
+	case store.Targets:
+		for _, x := range news {
+			r.tellTarget(x, from)
+		}
+	}
+	r.node.services.refresh()
+	if k != store.Targets && from != fromStore {
+		r.node.duty.pass(passNews)
+	}
+}
+
+// takeState puts the newest desired state in force. One that makes no sense changes nothing, and
+// within one life of the process versions only rise.
+func (r *records) takeState(from string) {
+	n := r.node
+	for _, x := range r.sets[store.State].Live() {
+		s := &tlv1.DesiredState{}
+		if err := proto.Unmarshal(x.Value, s); err != nil {
+			n.log.WithFields(logrus.Fields{"event": "state_refused", "from": from, "error": err}).Error()
+			continue
+		}
+		if old := r.table.Load(); old != nil && desired.Version(s.GetVersion()) <= old.Version {
+			continue
+		}
+		t, err := desired.Compile(s)
+		if err != nil {
+			n.log.WithFields(logrus.Fields{"event": "state_refused", "from": from, "error": err}).Error()
+			continue
+		}
+		r.table.Store(t)
+		n.metrics.stateVersion(uint64(t.Version))
+		n.log.WithFields(logrus.Fields{"event": "state_in_force", "version": t.Version, "from": from, "routes": len(t.Routes())}).Info()
+	}
+}
+
+func (r *records) tellTarget(x replica.Record, from string) {
+	f := logrus.Fields{"event": "target_record", "target": x.Key, "gone": x.Gone, "version": x.Version, "from": from}
+	if t := registered(x); t != nil {
+		f["service"], f["address"], f["hall"], f["leaving"] = t.GetService(), t.GetAddress(), t.GetHall(), t.GetLeaving()
+	}
+	r.node.log.WithFields(f).Info()
+}
+
+// registered returns what the target said of itself, or nil.
+func registered(x replica.Record) *tlv1.RegisteredTarget {
+	t := &tlv1.RegisteredTarget{}
+	if x.Gone || proto.Unmarshal(x.Value, t) != nil {
+		return nil
+	}
+	return t
+}
+
+// A target is one that a service has.
+type target struct {
+	id      ident.Target
+	service string
+	address string
+	hall    ident.Hall
+	slots   int
+	leaving bool
+	warmAt  clock.Millis
+}
+
+// targets returns all targets that registered themselves.
+func (r *records) targets() []target {
+	var list []target
+	for _, x := range r.sets[store.Targets].Live() {
+		if t := registered(x); t != nil {
+			list = append(list, target{
+				id: ident.Target(x.Key), service: t.GetService(), address: t.GetAddress(), hall: ident.Hall(t.GetHall()),
+				slots: int(t.GetSlots()), leaving: t.GetLeaving(), warmAt: x.At + clock.Millis(t.GetColdMs()),
+			})
+		}
+	}
+	return list
+}
+
+// wire returns records as other nodes are told of them.
+func (r *records) wire(k store.Kind, list []replica.Record) *tlv1.Records {
+	now := r.node.clock.Now()
+	out := &tlv1.Records{Kind: string(k)}
+	for _, x := range list {
+		out.Records = append(out.Records, &tlv1.Record{
+			Key: x.Key, Version: x.Version, Gone: x.Gone, Value: x.Value, AgeMs: int64(max(now-x.At, 0)),
+		})
+	}
+	return out
+}
+
+// hear takes in records that another node tells of.
+func (r *records) hear(m *tlv1.Records, from string) {
+	now := r.node.clock.Now()
+	list := make([]replica.Record, 0, len(m.GetRecords()))
+	for _, x := range m.GetRecords() {
+		list = append(list, replica.Record{
+			Key: x.GetKey(), Version: x.GetVersion(), Gone: x.GetGone(), Value: x.GetValue(), At: now - clock.Millis(x.GetAgeMs()),
+		})
+	}
+	r.put(store.Kind(m.GetKind()), list, from)
+}
--- a/gateway/reload.go
+++ b/node/reload.go
@@ -1,4 +1,4 @@
-package gateway
+package node
 
 import (
 	"context"
@@ -57,19 +57,22 @@
 // reload reads the settings again. Those that make no sense are told of and change nothing, and
 // addresses stay as they were until the next start.
 func (n *Node) reload(why string) {
-	next, err := settings.LoadGateway(n.path)
+	next, err := settings.Load(n.path)
 	if err != nil {
 		n.log.WithFields(logrus.Fields{"event": "settings_refused", "why": why, "error": err}).Error()
 		return
 	}
 	old := n.settings()
-	if next.Node != old.Node || next.Store != old.Store {
+	if next.Node != old.Node || next.Store != old.Store || !slices.Equal(next.Fleet.Keys, old.Fleet.Keys) {
 		n.log.WithFields(logrus.Fields{"event": "settings_need_restart"}).Warn()
-		next.Node, next.Store = old.Node, old.Store
+		next.Node, next.Store, next.Fleet.Keys = old.Node, old.Store, old.Fleet.Keys
 	}
 	n.config.Store(next)
 	if !slices.Equal(next.Fleet.Seeds, old.Fleet.Seeds) {
 		n.members.Seed(next.Fleet.Seeds)
 	}
+	if level, err := logrus.ParseLevel(next.Log.Level); err == nil {
+		n.log.SetLevel(level)
+	}
 	n.log.WithFields(logrus.Fields{"event": "settings_reloaded", "why": why}).Info()
 }
--- /dev/null
+++ b/node/speech.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/forward"
+	"github.com/tinladder/tinladder/ident"
+)
+
+// A Speech struct is how the platform's callers, targets and checks speak: the names of their
+// headers and paths, and the form of their messages.
+type Speech struct {
+	Headers     forward.Headers
+	ReadyPath   string
+	ResolvePath string
+	// ParseQuestion reads a caller's question, and WriteAddresses answers it.
+	ParseQuestion  func(r *http.Request) Question
+	WriteAddresses func(w http.ResponseWriter, addresses []string, valid clock.Millis)
+}
+
+// A Question struct is what a caller asks of the directory: where to go for a host.
+type Question struct {
+	Host   string
+	Region string
+	Hall   ident.Hall
+}
+
+// Headers of the fleet's own interface, towards callers and targets.
+const (
+	// HeaderOutcome is on every answer that a node makes itself, and on no other.
+	HeaderOutcome = "Tinladder-Outcome"
+	// HeaderRetryAfterMs is Retry-After in milliseconds.
+	HeaderRetryAfterMs = "Tinladder-Retry-After-Ms"
+	// HeaderKey names a run-once request.
+	HeaderKey = "Tinladder-Key"
+	// HeaderToken shows which workspace a caller belongs to.
+	HeaderToken = "Tinladder-Token"
+	// HeaderService names the service that a request is for.
+	HeaderService = "Tinladder-Service"
+	// HeaderDeadline is how many milliseconds an answer is still of use.
+	HeaderDeadline = "Tinladder-Deadline-Ms"
+	// HeaderReplay is on answers that were kept from the one time that a request ran.
+	HeaderReplay = "Tinladder-Replay"
+	// HeaderLeaving is on answers of targets that are leaving. It is not passed on.
+	HeaderLeaving = "Tinladder-Leaving"
+	// HeaderNotRun is on answers of targets that did not run the request.
+	HeaderNotRun = "Tinladder-Not-Run"
+	// HeaderPassed is on requests between nodes only.
+	HeaderPassed = "Tinladder-Passed"
+	// HeaderPeerKey proves that a request comes from a node.
+	HeaderPeerKey = "Tinladder-Peer-Key"
+	// HeaderRequestID names a request in logs.
+	HeaderRequestID = "X-Request-Id"
+)
+
+// ownHeaders are those of the fleet's own interface.
+var ownHeaders = forward.Headers{
+	RequestID: HeaderRequestID, Deadline: HeaderDeadline, NotRun: HeaderNotRun, Leaving: HeaderLeaving,
+	IDOptional: true, Forwarded: true,
+}
+
+// nodesOnly are headers that only nodes set, or read.
+var nodesOnly = []string{
+	HeaderToken, HeaderPassed, HeaderPeerKey, HeaderService, HeaderDeadline, HeaderKey,
+	"Forwarded", "X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto",
+}
--- a/node/wire.go
+++ b/node/wire.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
@@ -8,6 +9,7 @@
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tinladder/tinladder/member"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"google.golang.org/protobuf/proto"
 )
@@ -24,7 +26,7 @@
 var errForged = errors.New("datagram is not signed by a peer")
 
 // A keyring holds the keys that peers share. The first one signs; all are taken, so that a key
-// can be replaced without a gap.
+// can be replaced without a gap. Without keys nothing is signed.
 type keyring struct {
 	keys  [][]byte
 	doors []string
@@ -44,22 +46,33 @@
 	return h.Sum(nil)[:macSize]
 }
 
-func (k *keyring) seal(d *tlv1.Datagram) ([]byte, error) {
-	body, err := proto.Marshal(d)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode datagram")
+func (k *keyring) seal(p *tlv1.Parcel) ([]byte, error) {
+	body, err := proto.Marshal(p)
+	if err != nil || len(k.keys) == 0 {
+		return body, errors.Wrap(err, "encode datagram")
 	}
 	return append(mac(k.keys[0], body), body...), nil
 }
 
-func (k *keyring) open(b []byte) (*tlv1.Datagram, error) {
+func (k *keyring) open(b []byte) (*tlv1.Parcel, error) {
+	body, err := k.body(b)
+	if err != nil {
+		return nil, err
+	}
+	p := &tlv1.Parcel{}
+	return p, errors.Wrap(proto.Unmarshal(body, p), "decode datagram")
+}
+
+func (k *keyring) body(b []byte) ([]byte, error) {
+	if len(k.keys) == 0 {
+		return b, nil
+	}
 	if len(b) < macSize {
 		return nil, errForged
 	}
 	for _, key := range k.keys {
 		if hmac.Equal(mac(key, b[macSize:]), b[:macSize]) {
-			d := &tlv1.Datagram{}
-			return d, errors.Wrap(proto.Unmarshal(b[macSize:], d), "decode datagram")
+			return b[macSize:], nil
 		}
 	}
 	return nil, errForged
@@ -67,11 +80,14 @@
 
 // doorKey proves this node at a peer's door.
 func (k *keyring) doorKey() string {
+	if len(k.doors) == 0 {
+		return ""
+	}
 	return k.doors[0]
 }
 
 func (k *keyring) opensDoor(s string) bool {
-	found := false
+	found := len(k.doors) == 0
 	for _, d := range k.doors {
 		found = hmac.Equal([]byte(d), []byte(s)) || found
 	}
@@ -87,7 +103,7 @@
 }
 
 func listenWire(address string, keys *keyring, sent func(bytes int)) (w *wire, err error) {
-	defer func() { err = errors.Wrapf(err, "listen for gossip at %s", address) }()
+	defer func() { err = errors.Wrapf(err, "listen for datagrams at %s", address) }()
 	a, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, err
@@ -100,32 +116,78 @@
 }
 
 // send is best effort, as datagrams are.
-func (w *wire) send(address string, d *tlv1.Datagram) {
-	to, err := netip.ParseAddrPort(address)
-	if err != nil {
+func (w *wire) send(p *tlv1.Parcel, addresses ...string) {
+	if len(addresses) == 0 {
 		return
 	}
-	b, err := w.keys.seal(d)
+	b, err := w.keys.seal(p)
 	if err != nil {
 		return
 	}
-	if n, err := w.conn.WriteToUDPAddrPort(b, to); err == nil {
-		w.sent(n)
+	for _, a := range addresses {
+		to, err := netip.ParseAddrPort(a)
+		if err != nil {
+			continue
+		}
+		if n, err := w.conn.WriteToUDPAddrPort(b, to); err == nil {
+			w.sent(n)
+		}
 	}
 }
 
 // receive returns the next datagram of a peer, or an error once the wire is closed.
-func (w *wire) receive(buf []byte) (*tlv1.Datagram, error) {
+func (w *wire) receive(buf []byte) (*tlv1.Parcel, error) {
 	for {
 		n, _, err := w.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil, err
-			}
 			continue
 		}
-		if d, err := w.keys.open(buf[:n]); err == nil {
-			return d, nil
+		if p, err := w.keys.open(buf[:n]); err == nil {
+			return p, nil
+		}
+	}
+}
+
+// receive takes in datagrams until the wire is closed or the part is stopped.
+func (n *Node) receive(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = n.wire.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagram)
+	for {
+		p, err := n.wire.receive(buf)
+		if err != nil {
+			return
+		}
+		switch b := p.GetBody().(type) {
+		case *tlv1.Parcel_Gossip:
+			n.sendGossip(n.members.Receive(b.Gossip))
+			n.peers.met(b.Gossip.GetFrom())
+		case *tlv1.Parcel_Confirm:
+			n.duty.hear(b.Confirm)
+		case *tlv1.Parcel_Records:
+			n.records.hear(b.Records, "peer")
+		case *tlv1.Parcel_Report:
+			n.services.hear(b.Report)
+		}
+	}
+}
+
+func (n *Node) sendGossip(sends []member.Send) {
+	for _, s := range sends {
+		n.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Gossip{Gossip: s.Gossip}}, s.Address)
+	}
+}
+
+// gossipAddresses returns where the members hear datagrams, without those that keep rejects.
+func gossipAddresses(members []*tlv1.Member, keep func(m *tlv1.Member) bool) []string {
+	var list []string
+	for _, m := range members {
+		if keep(m) {
+			list = append(list, m.GetGossipAddress())
 		}
 	}
+	return list
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -35,6 +35,9 @@
 	Slots   int
 	// Near targets are in this node's hall.
 	Near bool
+	// Ours are targets that this node tries when too little is known of them: near ones, and those
+	// that are near no node.
+	Ours bool
 	// Leaving targets take no new work.
 	Leaving bool
 	// WarmAt is until when the target is slow from its start.
@@ -145,16 +148,18 @@
 	// blockedUntil is until when this node passes the target over, since it cannot reach it.
 	blockedUntil clock.Millis
 	blocks       int
+	// avoided says that the target is thought to be failing.
+	avoided bool
 	// left says that the target itself said that it is leaving, or is replaced.
 	left bool
 	// closings counts answers in a row that said that the connection closes.
 	closings int
 	known    clock.Millis
 	// usedAt is when any node was last known to send it a request.
-	usedAt clock.Millis
-	used   bool
-	gone     bool
-	changed  bool
+	usedAt  clock.Millis
+	used    bool
+	gone    bool
+	changed bool
 }
 
 // A Pool struct holds the targets of one service. It is safe for concurrent use.
@@ -166,6 +171,8 @@
 	// changed is called, with no lock held, when there is something to tell the other nodes;
 	// urgent says that it should not wait.
 	changed func(urgent bool)
+	// tell is called, with no lock held, for each change in what is believed of a target.
+	tell func(Event)
 
 	mu          sync.Mutex
 	targets     map[ident.Target]*target
@@ -175,12 +182,43 @@
 	reportSeq   uint64
 	ended       *window
 	peerEnded   map[ident.Process]peerTally
+	events      []Event
+}
+
+// An EventKind names a change in what is believed of a target.
+type EventKind int
+
+// Kinds of events.
+const (
+	// TargetAvoided targets are thought to be failing.
+	TargetAvoided EventKind = iota
+	// TargetReturned targets are thought to be sound again.
+	TargetReturned
+	// TargetLeft targets said themselves that they are leaving, or are no more at their address.
+	TargetLeft
+	// TargetUnreachable targets take no connection from this node.
+	TargetUnreachable
+)
+
+// String returns the kind's name in logs.
+func (k EventKind) String() string {
+	return [...]string{"target_avoided", "target_returned", "target_left", "target_unreachable"}[k]
+}
+
+// An Event struct is one change in what is believed of a target.
+type Event struct {
+	Kind   EventKind
+	Target ident.Target
+	// Failing is how likely the target is failing now.
+	Failing float64
+	// By names the node whose word it was; it is empty for this node's own.
+	By ident.Node
 }
 
 // New returns a pool without targets.
-func New(t Tuning, c clock.Clock, r *rand.Rand, b *Budget, changed func(urgent bool)) *Pool {
+func New(t Tuning, c clock.Clock, r *rand.Rand, b *Budget, changed func(urgent bool), tell func(Event)) *Pool {
 	return &Pool{
-		clock: c, rand: r, tuning: t, budget: b, changed: changed,
+		clock: c, rand: r, tuning: t, budget: b, changed: changed, tell: tell,
 		targets: map[ident.Target]*target{}, waiting: list.New(), serviceTime: float64(t.FirstServiceTime),
 		ended: newWindow(t.TroubleWindow), peerEnded: map[ident.Process]peerTally{},
 	}
@@ -252,11 +290,44 @@
 	l.target.changed = true
 	urgent := p.learn(l, o, closing)
 	grants := p.grantWaiting()
+	events := p.takeEvents()
 	p.mu.Unlock()
 	call(grants)
+	p.tellAll(events)
 	p.changed(urgent)
 }
 
+func (p *Pool) takeEvents() []Event {
+	events := p.events
+	p.events = nil
+	return events
+}
+
+func (p *Pool) tellAll(events []Event) {
+	for _, e := range events {
+		p.tell(e)
+	}
+}
+
+// believe changes what is believed of a target, and notes when that changes how it is used.
+func (p *Pool) believe(t *target, by ident.Node, now clock.Millis, change func(b *belief.Belief)) {
+	m := &p.tuning.Model
+	change(&t.belief)
+	failing := t.belief.Failing(m, now)
+	switch {
+	case !t.avoided && failing > avoidAbove:
+		t.avoided = true
+		p.note(Event{Kind: TargetAvoided, Target: t.ID, Failing: failing, By: by})
+	case t.avoided && failing < returnBelow:
+		t.avoided = false
+		p.note(Event{Kind: TargetReturned, Target: t.ID, Failing: failing, By: by})
+	}
+}
+
+func (p *Pool) note(e Event) {
+	p.events = append(p.events, e)
+}
+
 // learn takes in how an attempt ended, and says whether other nodes should know at once.
 func (p *Pool) learn(l *Lease, o Outcome, closing bool) (urgent bool) {
 	now := p.clock.Now()
@@ -265,43 +336,57 @@
 	switch o {
 	case Good:
 		urgent = t.belief.Failing(m, now) > suspect
-		t.belief.Good(m, now)
+		p.believe(t, "", now, func(b *belief.Belief) { b.Good(m, now) })
 		t.okAt, t.blocks, t.blockedUntil = now, 0, 0
 		p.serviceTime += (float64(now-l.from) - p.serviceTime) / smoothing
 	case Failed, Silent:
-		t.belief.Failed(m, now)
+		p.believe(t, "", now, func(b *belief.Belief) { b.Failed(m, now) })
 		t.failedAt = now
 		t.failures++
 		urgent = true
 	case Unreachable:
 		t.blocks++
+		p.note(Event{Kind: TargetUnreachable, Target: t.ID, Failing: t.belief.Failing(m, now)})
 		t.blockedUntil = now + p.tuning.UnreachableFor*clock.Millis(min(t.blocks, maxBlocks))
 	case Replaced:
-		t.left = true
+		p.leave(t, "", now)
 		urgent = true
 	}
 	if o == Good || o == Failed {
-		urgent = p.noteClosing(t, closing) || urgent
+		urgent = p.noteClosing(t, closing, now) || urgent
 	}
 	return urgent
 }
 
 // noteClosing counts answers in a row that close their connection: a target that is leaving says
 // so in all of them, others in one now and then.
-func (p *Pool) noteClosing(t *target, closing bool) bool {
+func (p *Pool) noteClosing(t *target, closing bool, now clock.Millis) bool {
 	if !closing {
 		t.closings = 0
 		return false
 	}
 	t.closings++
 	if t.closings >= leavingClosings && !t.left {
-		t.left = true
+		p.leave(t, "", now)
 		return true
 	}
 	return false
 }
 
+// leave notes that the target itself said that it is leaving.
+func (p *Pool) leave(t *target, by ident.Node, now clock.Millis) {
+	if t.left {
+		return
+	}
+	t.left = true
+	p.note(Event{Kind: TargetLeft, Target: t.ID, Failing: t.belief.Failing(&p.tuning.Model, now), By: by})
+}
+
 const (
+	// avoidAbove and returnBelow are how likely a target must be failing to be avoided, and not to be
+	// avoided any more.
+	avoidAbove  = 0.5
+	returnBelow = 0.3
 	// suspect is how likely a target must have been failing for its return to be news.
 	suspect = 0.25
 	// smoothing is the part of a new service time in the running mean, 1/16.
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -127,9 +127,9 @@
 		case <-hold.C:
 			p.press(w)
 		case <-deadline.C:
-			return p.leave(w, &BusyError{RetryAfter: minRetryAfter, Reason: "no slot came free in time"})
+			return p.quit(w, &BusyError{RetryAfter: minRetryAfter, Reason: "no slot came free in time"})
 		case <-ctx.Done():
-			return p.leave(w, context.Cause(ctx))
+			return p.quit(w, context.Cause(ctx))
 		}
 	}
 }
@@ -142,8 +142,8 @@
 	call(grants)
 }
 
-// leave takes the waiter out of the queue. A grant that came just then is used.
-func (p *Pool) leave(w *waiter, err error) (*Lease, error) {
+// quit takes the waiter out of the queue. A grant that came just then is used.
+func (p *Pool) quit(w *waiter, err error) (*Lease, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if w.element == nil {
--- a/pool/share.go
+++ b/pool/share.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"github.com/tinladder/tinladder/belief"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
@@ -53,8 +54,10 @@
 		}
 	}
 	grants := p.grantWaiting()
+	events := p.takeEvents()
 	p.mu.Unlock()
 	call(grants)
+	p.tellAll(events)
 }
 
 // maxNews bounds how many failures one report counts for.
@@ -69,12 +72,12 @@
 	}
 	if n := s.GetFailed() - was.failed; s.GetFailed() > was.failed && s.GetFailedMs() != never && clock.Millis(s.GetFailedMs()) < p.tuning.PeerAge {
 		for range min(n, maxNews) {
-			t.belief.Failed(m, now)
+			p.believe(t, from.Node, now, func(b *belief.Belief) { b.Failed(m, now) })
 		}
 	}
 	okAt := now - clock.Millis(s.GetOkMs())
 	if s.GetOkMs() != never && okAt > was.okAt+okGap && (s.GetFailedMs() == never || s.GetOkMs() < s.GetFailedMs()) && clock.Millis(s.GetOkMs()) < okFresh {
-		t.belief.Good(m, now)
+		p.believe(t, from.Node, now, func(b *belief.Belief) { b.Good(m, now) })
 	}
 	if s.GetOkMs() != never {
 		was.okAt = okAt
@@ -91,7 +94,7 @@
 	was.inFlight = int(s.GetInFlight())
 	was.at = now
 	if s.GetLeaving() {
-		t.left = true
+		p.leave(t, from.Node, now)
 	}
 }
 
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,142 @@
+// Package replica holds a node's copy of records that are kept in a store and that all nodes
+// should have. Of each record it keeps the newest version that it has seen, whoever told of it, so
+// that news may come late, twice and in any order. It does no I/O.
+package replica
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/tinladder/tinladder/clock"
+)
+
+// ForgetGone is how long a record that is gone is kept, so that news that is older is known as such.
+const ForgetGone = 5 * clock.Minute
+
+// A Record struct is one record. It is never changed.
+type Record struct {
+	Key string
+	// Version orders the records of one key. 0 says that the record is there and cannot be read.
+	Version uint64
+	// Gone says that the record was removed. It has no value then.
+	Gone  bool
+	Value []byte
+	// At is when the record was read from the store, by this node's clock.
+	At clock.Millis
+}
+
+// A Set struct holds the newest record of each key. It is safe for concurrent use.
+type Set struct {
+	clock clock.Clock
+
+	mu      sync.Mutex
+	records map[string]Record
+	goneAt  map[string]clock.Millis
+	sum     uint64
+}
+
+// New returns an empty set.
+func New(c clock.Clock) *Set {
+	return &Set{clock: c, records: map[string]Record{}, goneAt: map[string]clock.Millis{}}
+}
+
+// Put takes in the records that are newer than those held, and returns them.
+func (s *Set) Put(list []Record) (news []Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(list)
+}
+
+func (s *Set) put(list []Record) (news []Record) {
+	for _, r := range list {
+		old, held := s.records[r.Key]
+		if r.Version == 0 || held && old.Version >= r.Version {
+			continue
+		}
+		if r.Gone {
+			r.Value = nil
+			s.goneAt[r.Key] = s.clock.Now()
+		} else {
+			delete(s.goneAt, r.Key)
+		}
+		s.sum ^= sumOf(old) ^ sumOf(r)
+		s.records[r.Key] = r
+		news = append(news, r)
+	}
+	s.forget()
+	return news
+}
+
+// Replace takes in all records there are, as read at the version. Held ones that are missing are
+// gone, unless they are newer than that. It returns what is new.
+func (s *Set) Replace(list []Record, version uint64) (news []Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	named := make(map[string]bool, len(list))
+	for _, r := range list {
+		named[r.Key] = true
+	}
+	for key, old := range s.records {
+		if !named[key] && !old.Gone && old.Version <= version {
+			list = append(list, Record{Key: key, Version: max(version, old.Version+1), Gone: true, At: s.clock.Now()})
+		}
+	}
+	return s.put(list)
+}
+
+// forget drops records that have been gone for long.
+func (s *Set) forget() {
+	now := s.clock.Now()
+	for key, at := range s.goneAt {
+		if now-at > ForgetGone {
+			delete(s.goneAt, key)
+			delete(s.records, key)
+		}
+	}
+}
+
+// sumOf is a record's part in the sum. Records that are gone have none, so that forgetting them
+// changes nothing.
+func sumOf(r Record) uint64 {
+	if r.Gone || r.Version == 0 {
+		return 0
+	}
+	x := xxhash.New()
+	_, _ = x.WriteString(r.Key)
+	_, _ = x.Write(binary.LittleEndian.AppendUint64(nil, r.Version))
+	return x.Sum64()
+}
+
+// Sum is equal on two nodes if they hold the same records.
+func (s *Set) Sum() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sum
+}
+
+// Get returns the record of the key, if it is held and not gone.
+func (s *Set) Get(key string) (r Record, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, found = s.records[key]
+	return r, found && !r.Gone
+}
+
+// All returns all records in the order of their keys, those that are gone too.
+func (s *Set) All() []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]Record, 0, len(s.records))
+	for _, key := range slices.Sorted(maps.Keys(s.records)) {
+		list = append(list, s.records[key])
+	}
+	return list
+}
+
+// Live returns the records that are not gone, in the order of their keys.
+func (s *Set) Live() []Record {
+	return slices.DeleteFunc(s.All(), func(r Record) bool { return r.Gone })
+}
--- a/route/seed_test.go
+++ b/replica/seed_test.go
@@ -1,4 +1,4 @@
-package route_test
+package replica_test
 
 import "flag"
 
--- a/schema/tinladder/v1/tinladderv1connect/fleet.connect.go
+++ b/schema/tinladder/v1/tinladderv1connect/fleet.connect.go
@@ -37,11 +37,14 @@
 const (
 	// FleetServiceSyncProcedure is the fully-qualified name of the FleetService's Sync RPC.
 	FleetServiceSyncProcedure = "/tinladder.v1.FleetService/Sync"
+	// FleetServiceHeldProcedure is the fully-qualified name of the FleetService's Held RPC.
+	FleetServiceHeldProcedure = "/tinladder.v1.FleetService/Held"
 )
 
 // FleetServiceClient is a client for the tinladder.v1.FleetService service.
 type FleetServiceClient interface {
 	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
+	Held(context.Context, *connect.Request[v1.HeldRequest]) (*connect.Response[v1.HeldResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the tinladder.v1.FleetService service. By default,
@@ -61,12 +64,19 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Sync")),
 			connect.WithClientOptions(opts...),
 		),
+		held: connect.NewClient[v1.HeldRequest, v1.HeldResponse](
+			httpClient,
+			baseURL+FleetServiceHeldProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Held")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
 	sync *connect.Client[v1.SyncRequest, v1.SyncResponse]
+	held *connect.Client[v1.HeldRequest, v1.HeldResponse]
 }
 
 // Sync calls tinladder.v1.FleetService.Sync.
@@ -74,9 +84,15 @@
 	return c.sync.CallUnary(ctx, req)
 }
 
+// Held calls tinladder.v1.FleetService.Held.
+func (c *fleetServiceClient) Held(ctx context.Context, req *connect.Request[v1.HeldRequest]) (*connect.Response[v1.HeldResponse], error) {
+	return c.held.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the tinladder.v1.FleetService service.
 type FleetServiceHandler interface {
 	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
+	Held(context.Context, *connect.Request[v1.HeldRequest]) (*connect.Response[v1.HeldResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -92,10 +108,18 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Sync")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceHeldHandler := connect.NewUnaryHandler(
+		FleetServiceHeldProcedure,
+		svc.Held,
+		connect.WithSchema(fleetServiceMethods.ByName("Held")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/tinladder.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceSyncProcedure:
 			fleetServiceSyncHandler.ServeHTTP(w, r)
+		case FleetServiceHeldProcedure:
+			fleetServiceHeldHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -108,3 +132,7 @@
 func (UnimplementedFleetServiceHandler) Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tinladder.v1.FleetService.Sync is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) Held(context.Context, *connect.Request[v1.HeldRequest]) (*connect.Response[v1.HeldResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tinladder.v1.FleetService.Held is not implemented"))
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/BurntSushi/toml"
 	"github.com/cockroachdb/errors"
@@ -14,37 +15,82 @@
 	"github.com/tinladder/tinladder/ident"
 )
 
-// Node says who the node is and where it listens. Addresses are IP numbers with ports.
+// A Span is a time in a settings file, as text: 1500ms, 2.5s.
+type Span clock.Millis
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*s = Span(clock.FromDuration(d))
+	return nil
+}
+
+// Millis returns the time.
+func (s Span) Millis() clock.Millis {
+	return clock.Millis(s)
+}
+
+// Node says who the node is and where it listens. Addresses are IP numbers with ports; doors
+// without an address stay closed, but for Callers and Peers.
 type Node struct {
-	Name      string `toml:"name"`
-	Hall      string `toml:"hall"`
-	Gossip    string `toml:"gossip"`
-	Peers     string `toml:"peers"`
-	Callers   string `toml:"callers"`
+	Name   string `toml:"name"`
+	Hall   string `toml:"hall"`
+	Region string `toml:"region"`
+	// Callers is where requests come.
+	Callers string `toml:"callers"`
+	// Directory is where callers ask which nodes to use, on the users' platform.
+	Directory string `toml:"directory"`
+	// Readiness is where the platform asks whether callers may be sent here.
+	Readiness string `toml:"readiness"`
+	// Peers is where other nodes reach this one, by datagrams and connections.
+	Peers string `toml:"peers"`
+	// AdvertisePeers is where others reach it, if elsewhere.
+	AdvertisePeers string `toml:"advertise_peers"`
+	// Operators is where operators call.
 	Operators string `toml:"operators"`
-	// AdvertiseGossip and AdvertisePeers are where others reach the node, if elsewhere.
-	AdvertiseGossip string `toml:"advertise_gossip"`
-	AdvertisePeers  string `toml:"advertise_peers"`
-	// Weight is the node's share of work, in hundredths.
-	Weight uint32 `toml:"weight"`
+	// Metrics is where metrics are served; operators find them at their own door too.
+	Metrics string `toml:"metrics"`
 }
 
-// Platform says where the platform's service is. Embedded runs a stand-in in the node, for a
-// trial.
-type Platform struct {
-	URL       string `toml:"url"`
-	Embedded  bool   `toml:"embedded"`
-	TimeoutMs int64  `toml:"timeout_ms"`
+// Store says where the platform's store is. Embedded runs a stand-in in the node, for a trial.
+type Store struct {
+	Address  string `toml:"address"`
+	Embedded bool   `toml:"embedded"`
 }
 
 // Fleet says how nodes find and trust each other.
 type Fleet struct {
-	// Seeds are gossip addresses of some nodes, besides the platform's list of VMs.
+	// Seeds are addresses of some nodes for peers. They may be stale.
 	Seeds []string `toml:"seeds"`
-	// Keys are secrets that peers share, as hex. The first one signs; all are taken.
+	// Keys are secrets that peers share, as hex. The first one signs; all are taken. Without keys,
+	// whoever reaches the peers' door is taken for a peer.
 	Keys []string `toml:"keys"`
 }
 
+// Bounds are what the platform holds the fleet to.
+type Bounds struct {
+	// Apply is how soon a newer desired state must be in force.
+	Apply Span `toml:"apply"`
+	// Grace is how long the platform waits between SIGTERM and SIGKILL.
+	Grace Span `toml:"grace"`
+	// Leave is how soon a target that is leaving must get no new work.
+	Leave Span `toml:"leave"`
+	// Valid is the longest that callers keep an answer of the directory.
+	Valid Span `toml:"valid"`
+}
+
+// Retries bounds further attempts, over the whole fleet.
+type Retries struct {
+	// Ratio is how many further attempts each request of a service allows within the window, and
+	// Slack how many more there may be.
+	Ratio  float64 `toml:"ratio"`
+	Slack  float64 `toml:"slack"`
+	Window Span    `toml:"window"`
+}
+
 // Operators says who may do everything.
 type Operators struct {
 	AdminTokenSHA256 string `toml:"admin_token_sha256"`
@@ -55,7 +101,6 @@
 	Requests    int   `toml:"requests"`
 	BodyBytes   int64 `toml:"body_bytes"`
 	HeaderBytes int   `toml:"header_bytes"`
-	AskValidMs  int64 `toml:"ask_valid_ms"`
 }
 
 // Log says how much is logged.
@@ -66,22 +111,27 @@
 // Settings is the whole file.
 type Settings struct {
 	Node      Node      `toml:"node"`
-	Platform  Platform  `toml:"platform"`
+	Store     Store     `toml:"store"`
 	Fleet     Fleet     `toml:"fleet"`
+	Bounds    Bounds    `toml:"bounds"`
+	Retries   Retries   `toml:"retries"`
 	Operators Operators `toml:"operators"`
 	Limits    Limits    `toml:"limits"`
 	Log       Log       `toml:"log"`
 }
 
-// Defaults for what the file leaves out.
+// Defaults for what the file leaves out. The bounds are those of the users' platform.
 const (
 	defaultRequests    = 4096
-	defaultBodyBytes   = 16 << 20
+	defaultBodyBytes   = 64 << 20
 	defaultHeaderBytes = 32 << 10
-	defaultTimeout     = 1 * clock.Second
-	defaultAskValid    = 15 * clock.Second
-	defaultWeight      = 100
-	maxWeight          = 1000
+	defaultApply       = 2 * clock.Second
+	defaultGrace       = 6 * clock.Second
+	defaultLeave       = 2 * clock.Second
+	defaultValid       = 5 * clock.Second
+	defaultRatio       = 0.2
+	defaultSlack       = 60
+	defaultWindow      = 10 * clock.Second
 	minKeyBytes        = 16
 	hashBytes          = 32
 )
@@ -89,15 +139,12 @@
 // Defaults returns the settings of an empty file.
 func Defaults() *Settings {
 	return &Settings{
-		Node:     Node{Weight: defaultWeight},
-		Platform: Platform{TimeoutMs: int64(defaultTimeout)},
-		Limits: Limits{
-			Requests:    defaultRequests,
-			BodyBytes:   defaultBodyBytes,
-			HeaderBytes: defaultHeaderBytes,
-			AskValidMs:  int64(defaultAskValid),
+		Bounds: Bounds{
+			Apply: Span(defaultApply), Grace: Span(defaultGrace), Leave: Span(defaultLeave), Valid: Span(defaultValid),
 		},
-		Log: Log{Level: "info"},
+		Retries: Retries{Ratio: defaultRatio, Slack: defaultSlack, Window: Span(defaultWindow)},
+		Limits:  Limits{Requests: defaultRequests, BodyBytes: defaultBodyBytes, HeaderBytes: defaultHeaderBytes},
+		Log:     Log{Level: "info"},
 	}
 }
 
@@ -152,6 +199,12 @@
 	}
 }
 
+func (c *check) optional(key, s string) {
+	if s != "" {
+		c.address(key, s)
+	}
+}
+
 func (c *check) positive(key string, n int64) {
 	if n <= 0 {
 		c.add(key, "%d is not positive", n)
@@ -161,46 +214,49 @@
 func (s *Settings) check(c *check) {
 	c.name("node.name", s.Node.Name)
 	c.name("node.hall", s.Node.Hall)
-	c.address("node.gossip", s.Node.Gossip)
-	c.address("node.peers", s.Node.Peers)
 	c.address("node.callers", s.Node.Callers)
-	c.address("node.operators", s.Node.Operators)
-	s.checkOptional(c)
-	if s.Node.Weight < 1 || s.Node.Weight > maxWeight {
-		c.add("node.weight", "%d is not in 1 to %d", s.Node.Weight, maxWeight)
+	c.address("node.peers", s.Node.Peers)
+	c.optional("node.advertise_peers", s.Node.AdvertisePeers)
+	c.optional("node.directory", s.Node.Directory)
+	c.optional("node.readiness", s.Node.Readiness)
+	c.optional("node.operators", s.Node.Operators)
+	c.optional("node.metrics", s.Node.Metrics)
+	for i, a := range s.Fleet.Seeds {
+		c.address(fmt.Sprintf("fleet.seeds[%d]", i), a)
 	}
-	if (s.Platform.URL == "") == !s.Platform.Embedded {
-		c.add("platform.url", "set it, or platform.embedded, and not both")
+	switch {
+	case s.Store.Embedded && s.Store.Address != "":
+		c.add("store.address", "set it, or store.embedded, and not both")
+	case !s.Store.Embedded:
+		c.address("store.address", s.Store.Address)
 	}
-	c.positive("platform.timeout_ms", s.Platform.TimeoutMs)
-	c.positive("limits.requests", int64(s.Limits.Requests))
-	c.positive("limits.body_bytes", s.Limits.BodyBytes)
-	c.positive("limits.header_bytes", int64(s.Limits.HeaderBytes))
-	c.positive("limits.ask_valid_ms", s.Limits.AskValidMs)
+	s.checkBounds(c)
 	s.checkSecrets(c)
 }
 
-func (s *Settings) checkOptional(c *check) {
-	if s.Node.AdvertiseGossip != "" {
-		c.address("node.advertise_gossip", s.Node.AdvertiseGossip)
-	}
-	if s.Node.AdvertisePeers != "" {
-		c.address("node.advertise_peers", s.Node.AdvertisePeers)
-	}
-	for i, a := range s.Fleet.Seeds {
-		c.address(fmt.Sprintf("fleet.seeds[%d]", i), a)
+func (s *Settings) checkBounds(c *check) {
+	c.positive("bounds.apply", int64(s.Bounds.Apply))
+	c.positive("bounds.grace", int64(s.Bounds.Grace))
+	c.positive("bounds.leave", int64(s.Bounds.Leave))
+	c.positive("bounds.valid", int64(s.Bounds.Valid))
+	c.positive("retries.window", int64(s.Retries.Window))
+	c.positive("limits.requests", int64(s.Limits.Requests))
+	c.positive("limits.body_bytes", s.Limits.BodyBytes)
+	c.positive("limits.header_bytes", int64(s.Limits.HeaderBytes))
+	if !(s.Retries.Ratio >= 0) || !(s.Retries.Slack >= 0) {
+		c.add("retries", "ratio %v and slack %v may not be negative", s.Retries.Ratio, s.Retries.Slack)
 	}
 }
 
 func (s *Settings) checkSecrets(c *check) {
-	if len(s.Fleet.Keys) == 0 {
-		c.add("fleet.keys", "at least one is needed")
-	}
 	for i, k := range s.Fleet.Keys {
 		if b, err := hex.DecodeString(k); err != nil || len(b) < minKeyBytes {
 			c.add(fmt.Sprintf("fleet.keys[%d]", i), "want at least %d bytes as hex", minKeyBytes)
 		}
 	}
+	if s.Node.Operators == "" && s.Operators.AdminTokenSHA256 == "" {
+		return
+	}
 	if b, err := hex.DecodeString(s.Operators.AdminTokenSHA256); err != nil || len(b) != hashBytes {
 		c.add("operators.admin_token_sha256", "want a SHA-256 as hex")
 	}
@@ -215,15 +271,7 @@
 	return keys
 }
 
-// GossipAddress returns where others reach the node by gossip.
-func (n Node) GossipAddress() string {
-	if n.AdvertiseGossip != "" {
-		return n.AdvertiseGossip
-	}
-	return n.Gossip
-}
-
-// PeersAddress returns where others reach the node's door for peers.
+// PeersAddress returns where others reach the node.
 func (n Node) PeersAddress() string {
 	if n.AdvertisePeers != "" {
 		return n.AdvertisePeers
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,96 @@
+// Package store says what the fleet needs of the platform's store: rows that are written under
+// conditions, objects, and records that can be followed.
+package store
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/replica"
+)
+
+// Errors of calls.
+var (
+	// ErrAway says that the store did not answer, or refused. A commit that fails so may have taken
+	// effect, or may yet.
+	ErrAway = errors.New("store does not answer")
+	// ErrGap says that the store no longer knows all changes since the mark: read the whole again.
+	ErrGap = errors.New("changes were forgotten")
+)
+
+// A Row struct is one row of the table. Version 0 means that there is no such row.
+type Row struct {
+	Key     string
+	Value   []byte
+	Version uint64
+}
+
+// A Write struct sets a row if its version is the expected one; 0 expects no row.
+type Write struct {
+	Key      string
+	Value    []byte
+	Expected uint64
+}
+
+// A Conflict error says that a commit was refused, and how the rows in the way stand.
+type Conflict struct {
+	Rows []Row
+}
+
+// Error names the first row in the way.
+func (c *Conflict) Error() string {
+	if len(c.Rows) == 0 {
+		return "table conflict"
+	}
+	return "table conflict at " + strconv.Quote(c.Rows[0].Key)
+}
+
+// A Table holds rows of the fleet's own.
+type Table interface {
+	// Read returns a row for each key, in order, with version 0 for those absent.
+	Read(ctx context.Context, keys ...string) ([]Row, error)
+	// Scan returns up to limit rows with the prefix, in key order, after the key named.
+	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+	// Commit makes all writes or none. It fails with *Conflict, or with ErrAway when nobody knows.
+	Commit(ctx context.Context, writes ...Write) error
+}
+
+// An Object struct is a named value.
+type Object struct {
+	Name  string
+	Value []byte
+}
+
+// Objects keeps values that are written once.
+type Objects interface {
+	Put(ctx context.Context, o Object) error
+	// List returns the objects whose names have the prefix and come after the one named.
+	List(ctx context.Context, prefix, after string, limit int) ([]Object, error)
+}
+
+// A Kind names a set of records that nodes follow.
+type Kind string
+
+// Kinds of records.
+const (
+	// State is the desired state that the platform's operators write, as one record.
+	State Kind = "state"
+	// Targets are the targets that registered themselves.
+	Targets Kind = "targets"
+	// Documents are what operators write through the fleet's own interface.
+	Documents Kind = "documents"
+)
+
+// A Mark is a place in a kind's changes, to go on from.
+type Mark uint64
+
+// A Source is where records are kept.
+type Source interface {
+	// Read returns all records of the kind.
+	Read(ctx context.Context, k Kind) ([]replica.Record, Mark, error)
+	// Follow returns the changes since the mark as soon as there are any, or none after the wait. It
+	// fails with ErrGap when it no longer knows them.
+	Follow(ctx context.Context, k Kind, m Mark, wait clock.Millis) ([]replica.Record, Mark, error)
+}
--- a/tinladder.go
+++ b/tinladder.go
@@ -2,15 +2,15 @@
 // is made from a settings file and run until told to stop:
 //
 //	s, err := tinladder.Load("node.toml")
-//	n, err := tinladder.New(s)
-//	err = n.Run(ctx, time.Minute)
+//	n, err := tinladder.New(s, "node.toml")
+//	err = n.Run(ctx)
 //
-// The libraries behind it, such as health, eject, once and member, do no I/O and can be embedded
-// one by one.
+// The libraries behind it, such as belief, pool, once, replica and member, do no I/O and can be
+// embedded one by one.
 package tinladder
 
 import (
-	"context"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -18,11 +18,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/clock"
-	"github.com/tinladder/tinladder/gateway"
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/node"
 	"github.com/tinladder/tinladder/platform"
-	"github.com/tinladder/tinladder/backing"
+	"github.com/tinladder/tinladder/platform/standin"
 	"github.com/tinladder/tinladder/settings"
 )
 
@@ -31,49 +30,26 @@
 	return settings.Load(path)
 }
 
-// New returns a node with its doors open, on the platform that the settings name.
-func New(s *settings.Settings) (n *node.Node, err error) {
+// New returns a node with its doors open, on the platform that the settings name. It reads the
+// settings again from the path when they change.
+func New(s *settings.Settings, path string) (n *node.Node, err error) {
 	defer func() { err = errors.Wrap(err, "tinladder") }()
-	level, err := logrus.ParseLevel(s.Log.Level)
+	log, err := newLog(s.Log)
 	if err != nil {
-		return nil, errors.Wrap(err, "log.level")
+		return nil, err
 	}
-	log := logrus.New()
-	log.SetLevel(level)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
 	c := clock.NewSystem()
-	return node.New(s, platformOf(s.Platform, c), c, log)
-}
-
-// platformOf returns the platform at its address, or a stand-in within this process.
-func platformOf(s settings.Platform, c clock.Clock) backing.Platform {
-	if s.Embedded {
-		return backing.NewMemory(c, Wait)
+	address := s.Store.Address
+	if s.Store.Embedded {
+		if address, err = embed(c); err != nil {
+			return nil, err
+		}
 	}
-	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.Proxy = nil
-	return backing.NewRemote(&http.Client{Transport: t}, s.URL)
+	return node.New(s, path, On(address, c, log), c, log)
 }
 
-// Wait lets real time pass.
-func Wait(ctx context.Context, d clock.Millis) error {
-	select {
-	case <-time.After(d.Duration()):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// LoadGateway reads and checks the settings file of a node on the users' platform.
-func LoadGateway(path string) (*settings.Gateway, error) {
-	return settings.LoadGateway(path)
-}
-
-// NewGateway returns a node on the users' platform, with its doors open.
-func NewGateway(s *settings.Gateway, path string) (n *gateway.Node, err error) {
-	defer func() { err = errors.Wrap(err, "tinladder") }()
-	level, err := logrus.ParseLevel(s.Log.Level)
+func newLog(s settings.Log) (*logrus.Logger, error) {
+	level, err := logrus.ParseLevel(s.Level)
 	if err != nil {
 		return nil, errors.Wrap(err, "log.level")
 	}
@@ -81,24 +57,44 @@
 	log.SetOutput(os.Stdout)
 	log.SetLevel(level)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
-	c := clock.NewSystem()
-	bad := func(row string, err error) {
-		log.WithFields(logrus.Fields{"event": "row_refused", "row": row, "error": err}).Error()
+	return log, nil
+}
+
+// history is how long an embedded stand-in keeps changes.
+const history = 20 * clock.Second
+
+// embed runs a stand-in for the platform's store within this process, for a trial.
+func embed(c clock.Clock) (address string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "embedded store")
 	}
-	src := platform.NewSource(platform.NewClient(s.Store.Address), bad)
-	return gateway.New(s, path, src, translator(), c, log)
+	s := &http.Server{Handler: standin.NewDoor(standin.New(c, history)), ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), nil
 }
 
-// translator speaks as the users' platform does.
-func translator() gateway.Translator {
-	return gateway.Translator{
-		Headers:     platform.Headers(),
-		ReadyPath:   platform.ReadyPath,
-		ResolvePath: platform.ResolvePath,
-		ParseQuestion: func(r *http.Request) gateway.Question {
-			q := platform.ParseQuestion(r.URL.Query())
-			return gateway.Question{Host: q.Host, Region: q.Region, Hall: ident.Hall(q.Hall)}
+// On returns the users' platform with its store at the address.
+func On(store string, c clock.Clock, log *logrus.Logger) node.Platform {
+	client := platform.NewClient(store)
+	bad := func(row string, err error) {
+		log.WithFields(logrus.Fields{"event": "row_refused", "row": row, "error": err}).Error()
+	}
+	return node.Platform{
+		Source:  platform.NewSource(client, c, bad),
+		Table:   platform.NewTable(client),
+		Objects: platform.NewObjects(client),
+		Speech: node.Speech{
+			Headers:        platform.Headers(),
+			ReadyPath:      platform.ReadyPath,
+			ResolvePath:    platform.ResolvePath,
+			ParseQuestion:  parseQuestion,
+			WriteAddresses: platform.WriteAddresses,
 		},
-		WriteAddresses: platform.WriteAddresses,
 	}
 }
+
+func parseQuestion(r *http.Request) node.Question {
+	q := platform.ParseQuestion(r.URL.Query())
+	return node.Question{Host: q.Host, Region: q.Region, Hall: ident.Hall(q.Hall)}
+}
