Spells of nine seconds; a reserve of targets known to be sound; late answers weigh less

A 504 at the end of a request's time was held against targets that had had no time. Full sound targets were passed over for free failing ones.

--- a/belief/belief.go
+++ b/belief/belief.go
@@ -20,10 +20,10 @@
 	FailingFails float64
 }
 
-// DefaultModel is used until a service's own spells are known. Three in ten targets failing at a
-// time, each for a few seconds, was measured on days without trouble; one answer in a hundred of
-// a sound target is a failure.
-var DefaultModel = Model{Sound: 7 * clock.Second, Failing: 3 * clock.Second, SoundFails: 0.015, FailingFails: 0.88}
+// DefaultModel is what was measured on the users' platform: at any time three in ten targets fail
+// nine in ten of their requests, for about nine seconds and at times longer; one answer in a
+// hundred of a sound target is a failure (docs/design/12-choice.md).
+var DefaultModel = Model{Sound: 21 * clock.Second, Failing: 9 * clock.Second, SoundFails: 0.015, FailingFails: 0.85}
 
 // Prior is the share of targets that fail at any time.
 func (m *Model) Prior() float64 {
@@ -71,6 +71,18 @@
 	b.update(m, now, m.FailingFails, m.SoundFails)
 }
 
+// Late takes in an answer that did not come in the time that usual ones need. It says less than a
+// failure: a sound target is late now and then, a failing one often.
+func (b *Belief) Late(m *Model, now clock.Millis) {
+	b.update(m, now, lateIfFailing, lateIfSound)
+}
+
+// How often answers are late.
+const (
+	lateIfFailing = 0.3
+	lateIfSound   = 0.04
+)
+
 func (b *Belief) update(m *Model, now clock.Millis, ifFailing, ifSound float64) {
 	f := b.Failing(m, now)
 	b.failing = f * ifFailing / (f*ifFailing + (1-f)*ifSound)
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -34,6 +34,11 @@
 	// callerGrace is how much longer than a request's deadline a caller may take to send it or to
 	// read its answer.
 	callerGrace clock.Millis = 500
+	// lateFactor is how many times as long as usual an attempt must have had to be held against its
+	// target when time runs out.
+	lateFactor = 2
+	// fairShare is the part of a usual service time that must be left for another attempt.
+	fairShare = 0.5
 	// restRepeatable and restOnce are how long a connection may have rested for a request. A
 	// target may have forgotten one that rested long, and a run-once request would be lost on it.
 	restRepeatable = 30 * clock.Second
@@ -171,7 +176,7 @@
 	x.tried = append(x.tried, l.Target)
 	from := x.node.clock.Now()
 	a, err := x.node.conns.Send(ctx, l.Address, x.outgoing(l))
-	o := x.outcome(a, err)
+	o := x.outcome(a, err, l, x.node.clock.Now()-from)
 	l.Done(o, a != nil && x.leaves(a))
 	if o != pool.Shed && o != pool.Replaced && o != pool.Unreachable {
 		x.ran++
@@ -253,9 +258,14 @@
 		x.headers.Instance != "" && a.Status == http.StatusMisdirectedRequest
 }
 
-// outcome says how an attempt ended.
-func (x *exchange) outcome(a *forward.Answer, err error) pool.Outcome {
+// outcome says how an attempt ended that took so long.
+func (x *exchange) outcome(a *forward.Answer, err error, l *pool.Lease, took clock.Millis) pool.Outcome {
+	timeout := err != nil && x.node.clock.Now() >= x.deadline-sendMargin || err == nil && a.Status == http.StatusGatewayTimeout
 	switch {
+	case timeout && took < l.Usual()*lateFactor:
+		return pool.Abandoned // it had no fair chance
+	case timeout:
+		return pool.Late
 	case err != nil && x.r.Context().Err() != nil && x.route.Repeatable:
 		return pool.Abandoned
 	case errors.Is(err, forward.ErrNoConnection):
@@ -316,7 +326,8 @@
 // mayTryAgain says whether time and budget allow another attempt. Arrived says that the last one
 // reached a target, so that the next is one more.
 func (x *exchange) mayTryAgain(arrived bool) bool {
-	if x.stream != nil || x.node.clock.Now() >= x.deadline || len(x.tried) >= maxTried {
+	left := x.deadline - x.node.clock.Now()
+	if x.stream != nil || len(x.tried) >= maxTried || float64(left) < fairShare*float64(x.service.pool.Usual()) {
 		return false
 	}
 	return !arrived || x.service.pool.Budget().More()
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -59,32 +59,32 @@
 	return c
 }
 
-// choose returns the best target for the request, or nil. Without full it takes only targets that
-// have a slot free.
-func (p *Pool) choose(a *Ask, full bool) *target {
+// choose returns the best target for the request now, or nil if it should wait for one. Pressed
+// requests, which have waited, may go to a target's own queue.
+func (p *Pool) choose(a *Ask, pressed bool) *target {
 	now := p.clock.Now()
 	if t := p.explore(a, now); t != nil {
 		return t
 	}
 	var best *target
 	var least float64
+	free := false
 	for _, t := range p.order {
 		if !p.usable(t, now) || slices.Contains(a.Not, t.ID) {
 			continue
 		}
 		n := p.inFlight(t, now)
-		bound := t.Slots
-		if full {
-			bound += int(p.tuning.Overcommit * float64(t.Slots))
-		}
-		if n >= bound {
+		if n >= t.Slots+int(p.tuning.Overcommit*float64(t.Slots)) {
 			continue
 		}
 		c := p.cost(t, a, n, now) + tie*p.rand.Float64()
 		if best == nil || c < least {
-			best, least = t, c
+			best, least, free = t, c, n < t.Slots
 		}
 	}
+	if !free && !pressed {
+		return nil // it is better to wait for this one than to go to one that has a slot free
+	}
 	return best
 }
 
--- a/pool/explore.go
+++ b/pool/explore.go
@@ -83,30 +83,63 @@
 // explore returns a target that should be tried since too little is known of it, or nil. Only
 // targets of this node's part are tried, so that the halls do not all try the same.
 func (p *Pool) explore(a *Ask, now clock.Millis) *target {
-	troubled := p.troubled(now)
+	troubled, short := p.troubled(now), p.short(now)
 	var best *target
 	for _, t := range p.order {
 		if !t.Ours || !p.usable(t, now) || slices.Contains(a.Not, t.ID) || p.inFlight(t, now) >= t.Slots {
 			continue
 		}
-		if !p.due(t, a, troubled, now) {
+		if !p.due(t, a, troubled, now) && !(short && p.unknown(t, now)) {
 			continue
 		}
-		if best == nil || t.usedAt < best.usedAt {
+		if best == nil || p.sooner(t, best, now) {
 			best = t
 		}
 	}
 	return best
 }
 
-// due says whether the request should try the target.
+// due says whether the request should try the target, since nobody has for long.
 func (p *Pool) due(t *target, a *Ask, troubled bool, now clock.Millis) bool {
 	if t.usedAt == 0 {
 		return now-t.known > p.tuning.JoinWait
 	}
-	idle, failing := now-t.usedAt, t.belief.Failing(&p.tuning.Model, now)
-	if a.Repeatable && len(a.Not) == 0 && idle > p.tuning.ExploreIdle && failing < p.tuning.ExploreBelow {
-		return p.budget.Left() > 1
+	idle := now - t.usedAt
+	if a.Repeatable && len(a.Not) == 0 && idle > p.tuning.ExploreIdle {
+		return p.budget.Left() > spareAttempts
 	}
-	return troubled && idle > p.tuning.TroubleIdle && failing < p.tuning.TroubleBelow
+	return troubled && idle > p.tuning.TroubleIdle && t.belief.Failing(&p.tuning.Model, now) < p.tuning.TroubleBelow
+}
+
+// spareAttempts are further attempts that trials leave for requests that fail by chance.
+const spareAttempts = 2
+
+// short says whether too few slots are free at targets that are known to be sound.
+func (p *Pool) short(now clock.Millis) bool {
+	slots, used := 0, p.waiting.Len()
+	for _, t := range p.order {
+		if !t.Ours || !p.usable(t, now) {
+			continue
+		}
+		n := p.inFlight(t, now)
+		used += n
+		if t.belief.Failing(&p.tuning.Model, now) < p.tuning.KnownBelow {
+			slots += t.Slots
+		}
+	}
+	return float64(used+1) > p.tuning.Reserve*float64(slots)
+}
+
+// unknown says whether the target may be sound and may be failing, and is not being tried.
+func (p *Pool) unknown(t *target, now clock.Millis) bool {
+	f := t.belief.Failing(&p.tuning.Model, now)
+	return f >= p.tuning.KnownBelow && f < p.tuning.TroubleBelow && p.inFlight(t, now) == 0
+}
+
+// sooner says whether a is to be tried before b: one that nobody has used, then the likelier sound.
+func (p *Pool) sooner(a, b *target, now clock.Millis) bool {
+	if (a.usedAt == 0) != (b.usedAt == 0) {
+		return a.usedAt == 0
+	}
+	return a.belief.Failing(&p.tuning.Model, now) < b.belief.Failing(&p.tuning.Model, now)
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -53,7 +53,9 @@
 	Good Outcome = iota
 	// Failed answers say that the target failed.
 	Failed
-	// Silent attempts were sent and got no answer.
+	// Late attempts ran out of time, though they had as much as usual requests need.
+	Late
+	// Silent attempts were sent and lost their connection.
 	Silent
 	// Unreachable targets took no connection.
 	Unreachable
@@ -89,10 +91,14 @@
 	// JoinWait is how soon a new target is tried, with any request.
 	JoinWait clock.Millis
 	// ExploreIdle is how long a target may go without requests before a repeatable one tries it, and
-	// TroubleIdle before any does while the service is in trouble.
+	// TroubleIdle before any does while the service is in trouble, if it is not likelier to be
+	// failing than TroubleBelow.
 	ExploreIdle, TroubleIdle clock.Millis
-	// ExploreBelow and TroubleBelow bound how likely such a target may be failing.
-	ExploreBelow, TroubleBelow float64
+	TroubleBelow             float64
+	// Reserve is the share of the slots of targets that are known to be sound that may be in use
+	// before another target is tried, with any request; KnownBelow is how likely a target that is
+	// known to be sound may be failing.
+	Reserve, KnownBelow float64
 	// TroubleShare is the share of requests without a good answer, within TroubleWindow, from which
 	// on a service is in trouble.
 	TroubleShare  float64
@@ -114,10 +120,11 @@
 	Hold:             0.15,
 	Overcommit:       1,
 	JoinWait:         1500,
-	ExploreIdle:      1000,
+	ExploreIdle:      1500,
 	TroubleIdle:      1400,
-	ExploreBelow:     0.7,
 	TroubleBelow:     0.6,
+	Reserve:          0.6,
+	KnownBelow:       0.15,
 	TroubleShare:     0.07,
 	TroubleWindow:    2000,
 	FirstServiceTime: 200,
@@ -128,6 +135,7 @@
 	at       clock.Millis
 	okAt     clock.Millis
 	failed   uint32
+	late     uint32
 }
 
 // peerTally is what another node said of how its requests ended.
@@ -143,8 +151,9 @@
 	peers  map[ident.Process]*peerSeen
 	// okAt and failedAt are when this node saw the last good answer and the last failure.
 	okAt, failedAt clock.Millis
-	// failures counts this node's failures since its start.
-	failures uint32
+	// failures and lates count since this node's start.
+	failures, lates uint32
+	lateAt          clock.Millis
 	// blockedUntil is until when this node passes the target over, since it cannot reach it.
 	blockedUntil clock.Millis
 	blocks       int
@@ -276,6 +285,18 @@
 	}
 }
 
+// Usual is how long a request usually takes at the service's targets.
+func (l *Lease) Usual() clock.Millis {
+	return l.pool.Usual()
+}
+
+// Usual is how long a request usually takes at a target.
+func (p *Pool) Usual() clock.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return clock.Millis(p.serviceTime)
+}
+
 // Done tells how the attempt ended. Only the first call counts. Closing says that the target
 // closes the connection.
 func (l *Lease) Done(o Outcome, closing bool) {
@@ -344,6 +365,11 @@
 		t.failedAt = now
 		t.failures++
 		urgent = true
+	case Late:
+		p.believe(t, "", now, func(b *belief.Belief) { b.Late(m, now) })
+		t.lateAt = now
+		t.lates++
+		urgent = true
 	case Unreachable:
 		t.blocks++
 		p.note(Event{Kind: TargetUnreachable, Target: t.ID, Failing: t.belief.Failing(m, now)})
--- a/pool/share.go
+++ b/pool/share.go
@@ -25,7 +25,7 @@
 		t.changed = t.changed && whole
 		r.Seen = append(r.Seen, &tlv1.Seen{
 			Target: string(t.ID), OkMs: age(t.okAt, now), FailedMs: age(t.failedAt, now),
-			Failed: t.failures, InFlight: uint32(t.mine), Unreachable: now < t.blockedUntil, Leaving: t.left,
+			Failed: t.failures, Late: t.lates, InFlight: uint32(t.mine), Unreachable: now < t.blockedUntil, Leaving: t.left,
 		})
 	}
 	if len(r.Seen) == 0 && !whole {
@@ -75,6 +75,10 @@
 			p.believe(t, from.Node, now, func(b *belief.Belief) { b.Failed(m, now) })
 		}
 	}
+	if s.GetLate() > was.late {
+		p.believe(t, from.Node, now, func(b *belief.Belief) { b.Late(m, now) })
+	}
+	was.late = s.GetLate()
 	okAt := now - clock.Millis(s.GetOkMs())
 	if s.GetOkMs() != never && okAt > was.okAt+okGap && (s.GetFailedMs() == never || s.GetOkMs() < s.GetFailedMs()) && clock.Millis(s.GetOkMs()) < okFresh {
 		p.believe(t, from.Node, now, func(b *belief.Belief) { b.Good(m, now) })
--- a/pool/status.go
+++ b/pool/status.go
@@ -54,5 +54,5 @@
 
 // String returns the outcome's name in logs.
 func (o Outcome) String() string {
-	return [...]string{"good", "failed", "silent", "unreachable", "shed", "replaced", "abandoned"}[o]
+	return [...]string{"good", "failed", "late", "silent", "unreachable", "shed", "replaced", "abandoned"}[o]
 }
