--- a/pool/choose.go
+++ b/pool/choose.go
@@ -61,10 +61,10 @@
 
 // choose returns the best target for the request now, or nil if it should wait for one. Pressed
 // requests, which have waited, may go to a target's own queue.
-func (p *Pool) choose(a *Ask, pressed bool) *target {
+func (p *Pool) choose(a *Ask, pressed bool) (*target, Reason) {
 	now := p.clock.Now()
-	if t := p.explore(a, now); t != nil {
-		return t
+	if t, why := p.explore(a, now); t != nil {
+		return t, why
 	}
 	var best *target
 	var least float64
@@ -83,9 +83,9 @@
 		}
 	}
 	if !free && !pressed {
-		return nil // it is better to wait for this one than to go to one that has a slot free
+		return nil, Best // it is better to wait for this one than to go to one that has a slot free
 	}
-	return best
+	return best, Best
 }
 
 // tie is how much chance counts between targets that are nearly as good.
--- a/pool/explore.go
+++ b/pool/explore.go
@@ -80,35 +80,77 @@
 	return s.asked >= minTroubled && float64(s.unserved) > p.tuning.TroubleShare*float64(s.asked)
 }
 
+// A Reason says why a target was chosen.
+type Reason int
+
+// Reasons, from the usual one on.
+const (
+	// Best targets cost the least.
+	Best Reason = iota
+	// Joined targets are new and were not tried yet.
+	Joined
+	// Idle targets were not tried for long, and a repeatable request does no harm.
+	Idle
+	// Spread targets are tried since too many requests of the service fail.
+	Spread
+	// Spare targets are tried since too few slots are free at those that are known to be sound.
+	Spare
+)
+
+// String returns the reason's name in logs.
+func (r Reason) String() string {
+	return [...]string{"best", "joined", "idle", "spread", "spare"}[r]
+}
+
 // explore returns a target that should be tried since too little is known of it, or nil. Only
 // targets of this node's part are tried, so that the halls do not all try the same.
-func (p *Pool) explore(a *Ask, now clock.Millis) *target {
-	troubled, short := p.troubled(now), p.short(now)
-	var best *target
+func (p *Pool) explore(a *Ask, now clock.Millis) (best *target, why Reason) {
+	spread, short := p.troubled(now) && p.narrow(now), p.short(now)
 	for _, t := range p.order {
 		if !t.Ours || !p.usable(t, now) || slices.Contains(a.Not, t.ID) || p.inFlight(t, now) >= t.Slots {
 			continue
 		}
-		if !p.due(t, a, troubled, now) && !(short && p.unknown(t, now)) {
-			continue
-		}
-		if best == nil || p.sooner(t, best, now) {
-			best = t
+		r := p.due(t, a, spread, short, now)
+		if r != Best && (best == nil || p.sooner(t, best, now)) {
+			best, why = t, r
 		}
 	}
-	return best
+	return best, why
 }
 
-// due says whether the request should try the target, since nobody has for long.
-func (p *Pool) due(t *target, a *Ask, troubled bool, now clock.Millis) bool {
+// due says why the request should try the target, or Best if it should not.
+func (p *Pool) due(t *target, a *Ask, spread, short bool, now clock.Millis) Reason {
 	if t.usedAt == 0 {
-		return now-t.known > p.tuning.JoinWait
+		if now-t.known > p.tuning.JoinWait {
+			return Joined
+		}
+		return Best
+	}
+	idle, failing := now-t.usedAt, t.belief.Failing(&p.tuning.Model, now)
+	switch {
+	case a.Repeatable && len(a.Not) == 0 && idle > p.tuning.ExploreIdle && p.budget.Left() > spareAttempts:
+		return Idle
+	case spread && idle > p.tuning.TroubleIdle && failing < p.tuning.TroubleBelow:
+		return Spread
+	case short && failing >= p.tuning.KnownBelow && failing < p.tuning.TroubleBelow && p.inFlight(t, now) == 0:
+		return Spare
 	}
-	idle := now - t.usedAt
-	if a.Repeatable && len(a.Not) == 0 && idle > p.tuning.ExploreIdle {
-		return p.budget.Left() > spareAttempts
+	return Best
+}
+
+// narrow says whether too few of the targets that may well be sound were given work of late.
+func (p *Pool) narrow(now clock.Millis) bool {
+	used, sound := 0, 0
+	for _, t := range p.order {
+		if !t.Ours || !p.usable(t, now) || t.belief.Failing(&p.tuning.Model, now) >= p.tuning.TroubleBelow {
+			continue
+		}
+		sound++
+		if now-t.usedAt <= p.tuning.TroubleIdle {
+			used++
+		}
 	}
-	return troubled && idle > p.tuning.TroubleIdle && t.belief.Failing(&p.tuning.Model, now) < p.tuning.TroubleBelow
+	return float64(used) < p.tuning.TroubleSpread*float64(sound)
 }
 
 // spareAttempts are further attempts that trials leave for requests that fail by chance.
@@ -130,12 +172,6 @@
 	return float64(used+1) > p.tuning.Reserve*float64(slots)
 }
 
-// unknown says whether the target may be sound and may be failing, and is not being tried.
-func (p *Pool) unknown(t *target, now clock.Millis) bool {
-	f := t.belief.Failing(&p.tuning.Model, now)
-	return f >= p.tuning.KnownBelow && f < p.tuning.TroubleBelow && p.inFlight(t, now) == 0
-}
-
 // sooner says whether a is to be tried before b: one that nobody has used, then the likelier sound.
 func (p *Pool) sooner(a, b *target, now clock.Millis) bool {
 	if (a.usedAt == 0) != (b.usedAt == 0) {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -95,6 +95,9 @@
 	// failing than TroubleBelow.
 	ExploreIdle, TroubleIdle clock.Millis
 	TroubleBelow             float64
+	// TroubleSpread is the share of the targets that may well be sound that must be given work within
+	// TroubleIdle while the service is in trouble.
+	TroubleSpread float64
 	// Reserve is the share of the slots of targets that are known to be sound that may be in use
 	// before another target is tried, with any request; KnownBelow is how likely a target that is
 	// known to be sound may be failing.
@@ -123,6 +126,7 @@
 	ExploreIdle:      1500,
 	TroubleIdle:      1400,
 	TroubleBelow:     0.6,
+	TroubleSpread:    0.85,
 	Reserve:          0.6,
 	KnownBelow:       0.15,
 	TroubleShare:     0.07,
@@ -269,18 +273,19 @@
 	// Target and Address name the target.
 	Target  ident.Target
 	Address string
-	// Failing is how likely the target was thought to be failing.
+	// Why says why the target was chosen, and Failing how likely it was thought to be failing.
+	Why     Reason
 	Failing float64
 	from    clock.Millis
 	done    bool
 }
 
-func (p *Pool) lease(t *target, now clock.Millis) *Lease {
+func (p *Pool) lease(t *target, why Reason, now clock.Millis) *Lease {
 	t.mine++
 	t.used, t.usedAt = true, now
 	t.changed = true
 	return &Lease{
-		pool: p, target: t, Target: t.ID, Address: t.Address, from: now,
+		pool: p, target: t, Target: t.ID, Address: t.Address, Why: why, from: now,
 		Failing: t.belief.Failing(&p.tuning.Model, now),
 	}
 }
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -52,8 +52,8 @@
 		return nil, ErrNoTarget
 	}
 	if p.first(a) {
-		if t := p.choose(a, false); t != nil {
-			return p.lease(t, p.clock.Now()), nil
+		if t, why := p.choose(a, false); t != nil {
+			return p.lease(t, why, p.clock.Now()), nil
 		}
 	}
 	return nil, p.refuse(a)
@@ -160,11 +160,11 @@
 	var grants []grant
 	for e := p.waiting.Front(); e != nil; {
 		w, next := e.Value.(*waiter), e.Next()
-		t := p.choose(w.ask, w.pressed)
+		t, why := p.choose(w.ask, w.pressed)
 		var g grant
 		switch {
 		case t != nil:
-			g = grant{waiter: w, lease: p.lease(t, p.clock.Now())}
+			g = grant{waiter: w, lease: p.lease(t, why, p.clock.Now())}
 		case !p.anyUsable(w.ask):
 			g = grant{waiter: w, err: ErrNoTarget}
 		default:
