Come back fast after all nodes lost power: ask at once, hold requests until the first state

Now a node asks all its seeds at once and the store after 60 to 180 ms, and holds requests up to 0.6 s for the first state. Ruled out: a longer Retry-After (callers with no retries left don't use it).

--- a/member/probe.go
+++ b/member/probe.go
@@ -152,6 +152,18 @@
 	return sends
 }
 
+// Join returns a ping for each seed that no live node is known at, for a node that knows nobody yet.
+func (t *Table) Join() []Send {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	var sends []Send
+	for _, address := range t.indexed().strangers {
+		sends = append(sends, t.ping("", address, now))
+	}
+	return sends
+}
+
 func (t *Table) ping(node, address string, now clock.Millis) Send {
 	t.seq++
 	t.probes[t.seq] = probe{node: node, address: address, at: now}
--- a/node/duty.go
+++ b/node/duty.go
@@ -32,8 +32,11 @@
 	// staleMost the most of it.
 	stalePerRank clock.Millis = 30
 	staleMost    clock.Millis = 400
+	// patienceLeast and patienceMore set how long a node that has just started waits for others.
+	patienceLeast clock.Millis = 60
+	patienceMore  clock.Millis = 120
 	// dutyCheck is how often a node without the duty looks whether it should take it up.
-	dutyCheck clock.Millis = 100
+	dutyCheck clock.Millis = 50
 	// retryFirst and retryMost bound the pause after a call to the store that failed.
 	retryFirst clock.Millis = 150
 	retryMost  clock.Millis = 1500
@@ -50,6 +53,8 @@
 type duty struct {
 	node  *Node
 	since clock.Millis
+	// patience is how long this node waits for others after its start.
+	patience clock.Millis
 
 	mu sync.Mutex
 	// confirmed is when the store was last known to hold nothing newer of a kind, whoever asked it.
@@ -64,7 +69,7 @@
 
 func newDuty(n *Node) *duty {
 	return &duty{
-		node: n, since: n.clock.Now(), confirmed: map[store.Kind]clock.Millis{},
+		node: n, since: n.clock.Now(), patience: patienceOf(n), confirmed: map[store.Kind]clock.Millis{},
 		asked: map[store.Kind]clock.Millis{}, deafAt: map[ident.Process]clock.Millis{},
 	}
 }
@@ -96,6 +101,9 @@
 	if d.node.leaving.started() {
 		return false
 	}
+	if !d.known(k) {
+		return d.node.clock.Now()-d.since >= d.patience
+	}
 	rank := d.rank()
 	if rank == 0 && d.node.clock.Now()-d.since > staleAfter/2 {
 		return true
@@ -103,6 +111,24 @@
 	return d.age(k) > staleAfter+min(clock.Millis(rank)*stalePerRank, staleMost)
 }
 
+// known says whether anything of the kind was ever confirmed to this process.
+func (d *duty) known(k store.Kind) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.confirmed[k] > 0
+}
+
+// patienceOf is how long a node that has just started waits for word from others before it asks
+// the store itself: not at all if others look for them at it, and else each for another time, so that
+// a fleet that starts at once does not ask as one.
+func patienceOf(n *Node) clock.Millis {
+	seeds := n.settings().Fleet.Seeds
+	if len(seeds) == 0 || slices.Contains(seeds, n.settings().Node.PeersAddress()) {
+		return 0
+	}
+	return patienceLeast + rand.N(patienceMore)
+}
+
 // watch follows a kind of records for as long as this node has the duty.
 func (d *duty) watch(ctx context.Context, k store.Kind) {
 	var mark store.Mark
--- a/node/front.go
+++ b/node/front.go
@@ -32,7 +32,7 @@
 
 // servePlatform serves a caller of the users' platform, by host and path.
 func (n *Node) servePlatform(w http.ResponseWriter, r *http.Request) {
-	t := n.records.table.Load()
+	t := n.records.await(r)
 	if t == nil {
 		n.refuse(w, r, Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyPause, Detail: "no desired state is known yet"})
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -193,6 +193,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	parts := n.startParts(background)
+	n.sendGossip(n.members.Join())
 	n.log.WithFields(logrus.Fields{"event": "started", "node": n.self.Node, "process": n.self, "hall": n.hall()}).Info()
 	select {
 	case <-ctx.Done():
@@ -246,8 +247,8 @@
 // tick moves on what is not driven by events.
 func (n *Node) tick(context.Context) {
 	n.sendGossip(n.members.Tick())
-	n.duty.tick()
 	n.peers.tick()
+	n.duty.tick()
 	n.services.tick()
 	n.events.setNodes(len(n.members.Live()) + 1)
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -23,6 +23,8 @@
 	syncPause clock.Millis = 50
 	// mergeEvery is how often a node compares itself with another without a reason.
 	mergeEvery = 15 * clock.Second
+	// joinFor is how long a node that knows nobody asks all its seeds at once, again and again.
+	joinFor = 2 * clock.Second
 	// peerIdle is how long connections to other nodes are kept.
 	peerIdle = 5 * time.Second
 )
@@ -99,15 +101,19 @@
 	}
 }
 
-// tick compares this node with another now and then.
+// tick looks for others until there are any, and then compares this node with one now and then.
 func (p *peers) tick() {
 	now := p.node.clock.Now()
 	p.mu.Lock()
+	joining := !p.joined && now-p.node.duty.since < joinFor
 	due := now-p.mergedAt >= mergeEvery
 	if due {
 		p.mergedAt = now
 	}
 	p.mu.Unlock()
+	if joining {
+		p.node.sendGossip(p.node.members.Join())
+	}
 	if live := p.node.members.Live(); due && len(live) > 0 {
 		p.sync(live[rand.IntN(len(live))].GetPeerAddress())
 	}
--- a/node/records.go
+++ b/node/records.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/clock"
@@ -24,12 +26,14 @@
 	// table is the desired state of the platform's operators, book that of the fleet's own.
 	table atomic.Pointer[desired.Table]
 	book  atomic.Pointer[book]
+	// first is closed when the first desired state is in force.
+	first chan struct{}
 	// mu keeps changes from being taken over out of order.
 	mu sync.Mutex
 }
 
 func newRecords(n *Node) *records {
-	r := &records{node: n, sets: map[store.Kind]*replica.Set{}}
+	r := &records{node: n, sets: map[store.Kind]*replica.Set{}, first: make(chan struct{})}
 	for _, k := range []store.Kind{store.State, store.Targets, store.Documents} {
 		r.sets[k] = replica.New(n.clock)
 	}
@@ -96,12 +100,33 @@
 			n.log.WithFields(logrus.Fields{"event": "state_refused", "from": from, "error": err}).Error()
 			continue
 		}
-		r.table.Store(t)
+		if r.table.Swap(t) == nil {
+			close(r.first)
+		}
 		n.metrics.stateVersion(uint64(t.Version))
 		n.log.WithFields(logrus.Fields{"event": "state_in_force", "version": t.Version, "from": from, "routes": len(t.Routes())}).Info()
 	}
 }
 
+// firstWait is how long a request waits for the first desired state after the node's start. It is
+// there within tens of milliseconds of the store's or another node's answer.
+const firstWait clock.Millis = 600
+
+// await returns the desired state. A request that comes before there is one waits a little.
+func (r *records) await(req *http.Request) *desired.Table {
+	if t := r.table.Load(); t != nil {
+		return t
+	}
+	wait := time.NewTimer(firstWait.Duration())
+	defer wait.Stop()
+	select {
+	case <-r.first:
+	case <-wait.C:
+	case <-req.Context().Done():
+	}
+	return r.table.Load()
+}
+
 func (r *records) tellTarget(x replica.Record, from string) {
 	f := logrus.Fields{"event": "target_record", "target": x.Key, "gone": x.Gone, "version": x.Version, "from": from}
 	if t := registered(x); t != nil {
