Weigh a target by when an answer would come; deal the retries' slack to carriers; tell newcomers what is known

Cause: when most targets of a service fail, requests went to failing ones rather than wait within their time; a node that came to carry a service tried all its targets anew; 50 of 62 retries of the slack lay with nodes that carry nothing.

--- a/belief/belief.go
+++ b/belief/belief.go
@@ -46,6 +46,11 @@
 	return Belief{failing: m.Prior(), at: now}
 }
 
+// Taken returns the belief of another node, as it was at the time.
+func Taken(failing float64, at clock.Millis) Belief {
+	return Belief{failing: min(max(failing, 0), 1), at: at}
+}
+
 // Failing returns how likely it is that the target is failing now.
 func (b *Belief) Failing(m *Model, now clock.Millis) float64 {
 	if now <= b.at {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -111,7 +111,8 @@
 	defer cancel()
 	for {
 		l, err := x.service.pool.Acquire(ctx, &pool.Ask{
-			Repeatable: x.route.Repeatable, Rank: x.route.Rank, Aim: x.route.Aim, Deadline: x.deadline, Not: x.tried,
+			Repeatable: x.route.Repeatable, Again: x.route.Repeatable && x.stream == nil && x.ran+1 < x.route.Attempts,
+			Rank: x.route.Rank, Began: x.began, Aim: x.route.Aim, Deadline: x.deadline, Not: x.tried,
 		})
 		if err != nil {
 			x.giveUp(err, t)
--- a/node/services.go
+++ b/node/services.go
@@ -19,10 +19,13 @@
 	// farEvery to those in others. Failures are told at once.
 	nearEvery clock.Millis = 20
 	farEvery  clock.Millis = 500
-	// slackShare is the part of the fleet's slack of retries that is dealt out, evenly over all nodes.
-	slackShare = 0.8
-	// ratioShare is the part of the fleet's ratio of retries that each node uses.
-	ratioShare = 0.8
+	// ratioShare is the part of the fleet's ratio of retries that each node uses, of its own requests.
+	ratioShare = 0.93
+	// carrierSlack is the part of the fleet's slack of retries that is dealt to the nodes that carry
+	// a service, and otherSlack the part dealt to all others. What is left is for nodes that hold
+	// different views of who carries it.
+	carrierSlack = 0.45
+	otherSlack   = 0.2
 )
 
 // A service is what this node knows of one service's targets.
@@ -34,6 +37,8 @@
 	nearAt clock.Millis
 	farAt  clock.Millis
 	queued bool
+	// carriers are the nodes that carried the service when last looked at.
+	carriers map[ident.Process]bool
 }
 
 // services holds the pools of this node.
@@ -66,7 +71,7 @@
 	n := s.node
 	r := n.settings().Retries
 	svc := &service{name: name}
-	b := pool.NewBudget(n.clock, r.Ratio*ratioShare, s.slack(), r.Window.Millis())
+	b := pool.NewBudget(n.clock, r.Ratio*ratioShare, s.slack(name), r.Window.Millis())
 	svc.pool = pool.New(pool.DefaultTuning, n.clock, newRand(), b, func(urgent bool) { s.report(svc, urgent) },
 		func(e pool.Event) { s.note(svc, e) })
 	s.byName[name] = svc
@@ -86,11 +91,22 @@
 	return list
 }
 
-// slack is this node's part of the fleet's slack of retries.
-func (s *services) slack() float64 {
-	return s.node.settings().Retries.Slack * slackShare / float64(len(s.node.members.Live())+1)
+// slack is this node's part of the fleet's slack of retries for the service.
+func (s *services) slack(service string) float64 {
+	n := s.node
+	all := float64(len(n.members.Live()) + 1)
+	part := otherSlack / all
+	carriers := n.carriers.all(service)
+	if slices.ContainsFunc(carriers, func(m *tlv1.Member) bool { return processOf(m) == n.self }) {
+		part = carrierSlack / float64(max(len(carriers), leastCarriers))
+	}
+	return n.settings().Retries.Slack * part
 }
 
+// leastCarriers is how many nodes the carriers' slack is dealt to at least: a node that sees few
+// others may be cut off, and be one of many such.
+const leastCarriers = 6
+
 // targets returns the targets of all services, as pools take them.
 func (s *services) targets() map[string][]pool.Target {
 	byService := map[string][]pool.Target{}
@@ -175,11 +191,11 @@
 	s.mu.Unlock()
 	if changed {
 		s.refresh() // a hall may have come or gone
+		s.welcome()
 	}
-	slack := s.slack()
 	now := s.node.clock.Now()
 	for _, svc := range s.all() {
-		svc.pool.Budget().SetSlack(slack)
+		svc.pool.Budget().SetSlack(s.slack(svc.name))
 		svc.mu.Lock()
 		queued := svc.queued
 		svc.queued = false
@@ -194,6 +210,37 @@
 	}
 }
 
+// welcome tells nodes that have come to carry a service all that this one knows of it, if it carries
+// the service too.
+func (s *services) welcome() {
+	for _, svc := range s.all() {
+		now := map[ident.Process]bool{}
+		var fresh []*tlv1.Member
+		for _, m := range s.node.carriers.all(svc.name) {
+			p := processOf(m)
+			now[p] = true
+			if p != s.node.self && !svc.carriers[p] {
+				fresh = append(fresh, m)
+			}
+		}
+		carried := svc.carriers[s.node.self]
+		svc.carriers = now
+		if !carried || len(fresh) == 0 {
+			continue
+		}
+		r := svc.pool.Report(true)
+		s.sign(svc, r)
+		for part := range slices.Chunk(r.GetSeen(), seenPerParcel) {
+			one := &tlv1.Report{Node: r.Node, Incarnation: r.Incarnation, Seq: r.Seq, Service: r.Service, Seen: part, Asked: r.Asked, Unserved: r.Unserved}
+			n := gossipAddresses(fresh, func(*tlv1.Member) bool { return true })
+			s.node.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Report{Report: one}}, n...)
+		}
+	}
+}
+
+// seenPerParcel bounds one datagram of what was seen.
+const seenPerParcel = 24
+
 // hear takes in another node's report.
 func (s *services) hear(r *tlv1.Report) {
 	if r.GetNode() == string(s.node.self.Node) {
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -13,8 +13,11 @@
 	Repeatable bool
 	// Rank says who waits when there is too much work; 0 goes first.
 	Rank uint32
-	// Aim is the time within which an answer is worth the most.
-	Aim clock.Millis
+	// Again says that another attempt may follow if this one fails.
+	Again bool
+	// Began is when the request came, and Aim the time within which an answer is worth the most.
+	Began clock.Millis
+	Aim   clock.Millis
 	// Deadline is when an answer is of no more use.
 	Deadline clock.Millis
 	// Not are targets that the request has been at.
@@ -37,26 +40,61 @@
 	return n
 }
 
-// cost says how bad it is to send the request to the target now; the least is chosen. A failure
-// of a request that cannot be repeated costs 1.
-func (p *Pool) cost(t *target, a *Ask, inFlight int, now clock.Millis) float64 {
-	fail := p.tuning.FailCost
-	if a.Repeatable {
-		fail = p.tuning.RetryCost
+// cost says how bad it is to send the request to the target, where it waits for so long; the least
+// is chosen. A request that fails costs 1, one that is late Tuning.LateCost.
+func (p *Pool) cost(t *target, a *Ask, inFlight int, wait float64, now clock.Millis) float64 {
+	takes := p.serviceTime
+	c := p.tuning.LoadCost * float64(inFlight) / float64(max(t.Slots, 1))
+	if now < t.WarmAt {
+		takes *= coldFactor
 	}
-	c := t.belief.Fails(&p.tuning.Model, now) * fail
 	if !t.Near {
 		c += p.tuning.FarCost
 	}
-	if now < t.WarmAt {
-		c += p.tuning.ColdCost
+	fails := t.belief.Fails(&p.tuning.Model, now)
+	fail := p.tuning.FailCost
+	if a.Again && p.budget.Left() > spareAttempts {
+		fail = p.tuning.RetryCost
 	}
-	c += p.tuning.LoadCost * float64(inFlight) / float64(max(t.Slots, 1))
-	if over := inFlight + 1 - t.Slots; over > 0 {
-		wait := float64(over) * p.serviceTime / float64(max(t.Slots, 1))
-		c += wait / float64(max(a.Aim, 1))
+	end := float64(now) + wait + takes
+	if end > float64(a.Deadline) {
+		return c + p.tuning.FailCost + (end-float64(a.Deadline))/takes
 	}
-	return c
+	return c + fails*fail + (1-fails)*p.tuning.LateCost*lateness(end, a)
+}
+
+// coldFactor is how much longer a target that has just started takes.
+const coldFactor = 2
+
+// earlyShare is the share of a request's aim up to which it is certain to be in time, and lateShare
+// the share from which it is certain to be late.
+const (
+	earlyShare = 0.6
+	lateShare  = 1.2
+)
+
+// lateness is how likely an answer that is expected at the time is late.
+func lateness(end float64, a *Ask) float64 {
+	took := (end - float64(a.Began)) / float64(max(a.Aim, 1))
+	return min(max((took-earlyShare)/(lateShare-earlyShare), 0), 1)
+}
+
+// queueWait is how long a request waits in this node's queue before one of the targets that are
+// known to be sound has a slot for it.
+func (p *Pool) queueWait(now clock.Millis) float64 {
+	slots := 0
+	for _, t := range p.order {
+		if p.usable(t, now) && t.belief.Failing(&p.tuning.Model, now) < p.tuning.KnownBelow {
+			slots += t.Slots
+		}
+	}
+	return float64(p.waiting.Len()) * p.serviceTime / float64(max(slots, 1))
+}
+
+// wait is how long a request waits at a target for a slot.
+func (p *Pool) slotWait(t *target, inFlight int) float64 {
+	over := inFlight + 1 - t.Slots
+	return float64(max(over, 0)) * p.serviceTime / float64(max(t.Slots, 1))
 }
 
 // choose returns the best target for the request now, or nil if it should wait for one. Pressed
@@ -69,6 +107,7 @@
 	var best *target
 	var least float64
 	free := false
+	queued := p.queueWait(now)
 	for _, t := range p.order {
 		if !p.usable(t, now) || slices.Contains(a.Not, t.ID) {
 			continue
@@ -77,7 +116,11 @@
 		if n >= t.Slots+int(p.tuning.Overcommit*float64(t.Slots)) {
 			continue
 		}
-		c := p.cost(t, a, n, now) + tie*p.rand.Float64()
+		wait := p.slotWait(t, n)
+		if wait > 0 {
+			wait += queued
+		}
+		c := p.cost(t, a, n, wait, now) + tie*p.rand.Float64()
 		if best == nil || c < least {
 			best, least, free = t, c, n < t.Slots
 		}
--- a/pool/explore.go
+++ b/pool/explore.go
@@ -120,7 +120,7 @@
 
 // due says why the request should try the target, or Best if it should not.
 func (p *Pool) due(t *target, a *Ask, spread, short bool, now clock.Millis) Reason {
-	if t.usedAt == 0 {
+	if t.usedAt == 0 && t.joined {
 		if now-t.known > p.tuning.JoinWait {
 			return Joined
 		}
@@ -160,7 +160,7 @@
 func (p *Pool) short(now clock.Millis) bool {
 	slots, used := 0, p.waiting.Len()
 	for _, t := range p.order {
-		if !t.Ours || !p.usable(t, now) {
+		if !p.usable(t, now) {
 			continue
 		}
 		n := p.inFlight(t, now)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -73,12 +73,12 @@
 	Model belief.Model
 	// FailCost is what a failure costs a request that cannot be repeated, and RetryCost one that can.
 	FailCost, RetryCost float64
+	// LateCost is what an answer costs that comes, and comes late.
+	LateCost float64
 	// FarCost is what a target in another hall costs.
 	FarCost float64
 	// LoadCost is what each slot in use costs, as a share of the slots.
 	LoadCost float64
-	// ColdCost is what a target costs that has just started.
-	ColdCost float64
 	// UnreachableFor is how long a target is passed over that this node cannot connect to.
 	UnreachableFor clock.Millis
 	// PeerAge is how long what another node has in flight is counted without hearing it again.
@@ -115,9 +115,9 @@
 	Model:            belief.DefaultModel,
 	FailCost:         1,
 	RetryCost:        0.3,
+	LateCost:         0.35,
 	FarCost:          0.04,
 	LoadCost:         0.05,
-	ColdCost:         0.15,
 	UnreachableFor:   1500,
 	PeerAge:          1500,
 	Hold:             0.15,
@@ -168,6 +168,10 @@
 	// closings counts answers in a row that said that the connection closes.
 	closings int
 	known    clock.Millis
+	// knownAt is when the last evidence on the target came to this node; 0 if never.
+	knownAt clock.Millis
+	// joined targets came while this node knew the service already.
+	joined bool
 	// usedAt is when any node was last known to send it a request.
 	usedAt  clock.Millis
 	used    bool
@@ -251,7 +255,7 @@
 	for _, d := range targets {
 		t := p.targets[d.ID]
 		if t == nil {
-			t = &target{belief: belief.New(&p.tuning.Model, now), peers: map[ident.Process]*peerSeen{}, known: now}
+			t = &target{belief: belief.New(&p.tuning.Model, now), peers: map[ident.Process]*peerSeen{}, known: now, joined: len(p.targets) > 0}
 		}
 		t.Target = d
 		named[d.ID] = t
@@ -339,6 +343,7 @@
 func (p *Pool) believe(t *target, by ident.Node, now clock.Millis, change func(b *belief.Belief)) {
 	m := &p.tuning.Model
 	change(&t.belief)
+	t.knownAt = max(t.knownAt, now)
 	failing := t.belief.Failing(m, now)
 	switch {
 	case !t.avoided && failing > avoidAbove:
--- a/pool/share.go
+++ b/pool/share.go
@@ -7,6 +7,9 @@
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
 
+// thousand is the unit of likelihoods in reports.
+const thousand = 1000
+
 // never stands for an age of what never was.
 const never = -1
 
@@ -19,13 +22,14 @@
 	ended := p.ended.sum(now)
 	r := &tlv1.Report{Whole: whole, Asked: uint32(ended.asked), Unserved: uint32(ended.unserved)}
 	for _, t := range p.order {
-		if !t.changed && !(whole && t.used) {
+		if !t.changed && !(whole && t.knownAt > 0) {
 			continue
 		}
 		t.changed = t.changed && whole
 		r.Seen = append(r.Seen, &tlv1.Seen{
 			Target: string(t.ID), OkMs: age(t.okAt, now), FailedMs: age(t.failedAt, now),
 			Failed: t.failures, Late: t.lates, InFlight: uint32(t.mine), Unreachable: now < t.blockedUntil, Leaving: t.left,
+			Failing: uint32(t.belief.Failing(&p.tuning.Model, now) * thousand), KnownMs: age(t.knownAt, now),
 		})
 	}
 	if len(r.Seen) == 0 && !whole {
@@ -79,6 +83,10 @@
 		p.believe(t, from.Node, now, func(b *belief.Belief) { b.Late(m, now) })
 	}
 	was.late = s.GetLate()
+	if t.knownAt == 0 && s.GetKnownMs() > 0 {
+		t.knownAt = now - clock.Millis(s.GetKnownMs())
+		p.believe(t, from.Node, now, func(b *belief.Belief) { *b = belief.Taken(float64(s.GetFailing())/thousand, now) })
+	}
 	okAt := now - clock.Millis(s.GetOkMs())
 	if s.GetOkMs() != never && okAt > was.okAt+okGap && (s.GetFailedMs() == never || s.GetOkMs() < s.GetFailedMs()) && clock.Millis(s.GetOkMs()) < okFresh {
 		p.believe(t, from.Node, now, func(b *belief.Belief) { b.Good(m, now) })
