Choose carriers by the group of services that a host leads to, and by capacity

Loads were told only at a request's end, and ran out after 1.5 s though requests last 2 s and more. Now hosts and services that share requests are a group, which the most capable nodes of each hall carry, as many as its slots need; a load is told at its begin, again while it lasts, and far targets' loads to all; evidence goes to all nodes that use a service.

--- a/desired/desired.go
+++ b/desired/desired.go
@@ -77,6 +77,7 @@
 	byHost   map[string][]*Route
 	routes   []*Route
 	state    *tlv1.DesiredState
+	groups   *groups
 }
 
 // Compile checks a state and returns it ready for use.
@@ -107,6 +108,7 @@
 		}
 	}
 	t.sort()
+	t.groups = newGroups(t)
 	return t, nil
 }
 
--- /dev/null
+++ b/desired/group.go
@@ -0,0 +1,70 @@
+package desired
+
+import (
+	"maps"
+	"slices"
+)
+
+// A Group names services whose requests come through the same hosts. Callers ask by host, so the
+// nodes that they are sent to see all services of a group.
+type Group string
+
+// groups joins hosts and services that share requests, as a union-find over their names.
+type groups struct {
+	parent   map[string]string
+	services map[Group][]string
+}
+
+// Prefixes keep the names of hosts and of services apart.
+const (
+	hostName    = "h:"
+	serviceName = "s:"
+)
+
+func newGroups(t *Table) *groups {
+	g := &groups{parent: map[string]string{}, services: map[Group][]string{}}
+	for _, r := range t.routes {
+		for _, p := range r.Parts {
+			g.join(hostName+r.Host, serviceName+p.Service)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.Services)) {
+		id := Group(g.find(serviceName + name))
+		g.services[id] = append(g.services[id], name)
+	}
+	return g
+}
+
+func (g *groups) find(name string) string {
+	for {
+		p, found := g.parent[name]
+		if !found || p == name {
+			return name
+		}
+		name = p
+	}
+}
+
+// join makes the smaller name the group's, so that all nodes name groups alike.
+func (g *groups) join(a, b string) {
+	a, b = g.find(a), g.find(b)
+	if a > b {
+		a, b = b, a
+	}
+	g.parent[b] = a
+}
+
+// GroupOfHost returns the group of the services that the host's routes lead to.
+func (t *Table) GroupOfHost(host string) Group {
+	return Group(t.groups.find(hostName + HostOf(host)))
+}
+
+// GroupOfService returns the group that the service is in.
+func (t *Table) GroupOfService(name string) Group {
+	return Group(t.groups.find(serviceName + name))
+}
+
+// ServicesOf returns the services of the group, by name.
+func (t *Table) ServicesOf(g Group) []string {
+	return t.groups.services[g]
+}
--- a/node/ask.go
+++ b/node/ask.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/desired"
 	"github.com/tinladder/tinladder/ident"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
@@ -69,7 +70,7 @@
 	a := Answer{Service: s.String(), ValidMs: int64(n.valid()), KeyPrefix: n.ledger.Prefix()}
 	self := n.members.Self()
 	list := []*tlv1.Member{self}
-	for _, m := range n.nodesFor(s.String(), hall) {
+	for _, m := range n.nodesFor(desired.Group(s.String()), hall) {
 		if m.GetNode() != self.GetNode() {
 			list = append(list, m)
 		}
@@ -89,7 +90,7 @@
 		}
 		q := n.platform.Speech.ParseQuestion(r)
 		var addresses []string
-		for _, m := range n.nodesFor(n.serviceOf(q.Host), q.Hall) {
+		for _, m := range n.nodesFor(n.groupOf(q.Host), q.Hall) {
 			addresses = append(addresses, m.GetCallerAddress())
 		}
 		if len(addresses) == 0 {
@@ -100,29 +101,24 @@
 	})
 }
 
-// serviceOf returns the service that most requests for the host go to. Hosts that lead nowhere
-// have nodes too, which say so.
-func (n *Node) serviceOf(host string) string {
-	t := n.records.table.Load()
-	if t == nil {
-		return ""
+// groupOf returns the services that requests for the host go to. Hosts that lead nowhere have nodes
+// too, which say so.
+func (n *Node) groupOf(host string) desired.Group {
+	if t := n.records.table.Load(); t != nil {
+		return t.GroupOfHost(host)
 	}
-	routes := t.OfHost(host)
-	if len(routes) == 0 {
-		return ""
-	}
-	return routes[0].Parts[0].Service
+	return ""
 }
 
-// nodesFor returns the nodes that carry the service in the caller's hall, and others if there are
-// too few.
-func (n *Node) nodesFor(service string, hall ident.Hall) []*tlv1.Member {
-	list := n.carriers.inHall(service, hall)
+// nodesFor returns the nodes that carry the group in the caller's hall, and others if there are too
+// few.
+func (n *Node) nodesFor(group desired.Group, hall ident.Hall) []*tlv1.Member {
+	list := n.carriers.inHall(group, hall)
 	halls := n.carriers.halls()
 	rand.Shuffle(len(halls), func(i, j int) { halls[i], halls[j] = halls[j], halls[i] })
 	for _, h := range halls {
 		if h != hall && len(list) < fewAddresses {
-			list = append(list[:len(list):len(list)], n.carriers.inHall(service, h)...)
+			list = append(list[:len(list):len(list)], n.carriers.inHall(group, h)...)
 		}
 	}
 	return list
--- a/node/carriers.go
+++ b/node/carriers.go
@@ -1,32 +1,35 @@
 package node
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 
 	"github.com/tinladder/tinladder/assign"
+	"github.com/tinladder/tinladder/desired"
 	"github.com/tinladder/tinladder/ident"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
 
-// carriersPerHall is how many nodes of each hall carry a service, unless its document says
-// otherwise.
-const carriersPerHall = 2
+// fewCarriers is the least nodes of each hall that carry a group of services.
+const fewCarriers = 2
 
-// carriers says which nodes carry which service: a few in each hall, so that they see enough of
-// its targets to judge them. Any node can serve any service.
+// carriers says which nodes carry which services: a few in each hall, so that they see enough of
+// the targets to judge them and know what is in flight, and as many as the services' slots need.
+// Any node can serve any service.
 type carriers struct {
 	node *Node
 
-	mu      sync.Mutex
-	version uint64
-	cache   map[carrierKey][]*tlv1.Member
+	mu sync.Mutex
+	// version and generation tell when the members or the services have changed.
+	version, seen, generation uint64
+	cache                     map[carrierKey][]*tlv1.Member
+	slots                     map[string]int
 }
 
 type carrierKey struct {
-	service string
-	hall    ident.Hall
-	count   int
+	group desired.Group
+	hall  ident.Hall
 }
 
 func newCarriers(n *Node) *carriers {
@@ -55,19 +58,33 @@
 	return list
 }
 
-// inHall returns the nodes of the hall that carry the service, best first.
-func (c *carriers) inHall(service string, hall ident.Hall) []*tlv1.Member {
-	count := carriersPerHall
-	if n := c.node.records.book.Load().nodes(service); n > 0 {
-		count = (n + max(len(c.halls()), 1) - 1) / max(len(c.halls()), 1)
+// setSlots says how many slots the targets of each service have.
+func (c *carriers) setSlots(slots map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slots = slots
+	c.generation++
+}
+
+// groupOf returns the service's group. Each of the fleet's own services is one by itself.
+func (c *carriers) groupOf(service string) desired.Group {
+	if t := c.node.records.table.Load(); t != nil {
+		if _, found := t.Services[service]; found {
+			return t.GroupOfService(service)
+		}
 	}
+	return desired.Group(service)
+}
+
+// inHall returns the nodes of the hall that carry the group, best first.
+func (c *carriers) inHall(group desired.Group, hall ident.Hall) []*tlv1.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if v := c.node.members.Version(); v != c.version {
-		c.version = v
+	if v := c.node.members.Version(); v != c.version || c.seen != c.generation {
+		c.version, c.seen = v, c.generation
 		clear(c.cache)
 	}
-	k := carrierKey{service: service, hall: hall, count: count}
+	k := carrierKey{group: group, hall: hall}
 	list, found := c.cache[k]
 	if !found {
 		list = c.rank(k)
@@ -76,23 +93,51 @@
 	return list
 }
 
+// rank takes the nodes with the most capacity first, in an order of its own for each group, until
+// they are enough.
 func (c *carriers) rank(k carrierKey) []*tlv1.Member {
 	byNode := map[ident.Node]*tlv1.Member{}
 	var candidates []assign.Candidate
 	for _, m := range c.ready() {
 		if hallOf(m) == k.hall {
 			byNode[ident.Node(m.GetNode())] = m
-			candidates = append(candidates, assign.Candidate{Node: ident.Node(m.GetNode()), Hall: k.hall, Weight: memberWeight})
+			candidates = append(candidates, assign.Candidate{Node: ident.Node(m.GetNode()), Hall: k.hall, Weight: evenWeight})
 		}
 	}
-	ranked := assign.Rank(k.service, candidates)
+	ranked := assign.Rank(string(k.group), candidates)
+	slices.SortStableFunc(ranked, func(a, b assign.Candidate) int {
+		return cmp.Compare(byNode[b.Node].GetWeight(), byNode[a.Node].GetWeight())
+	})
+	need, few := c.needs(k.group)
 	var list []*tlv1.Member
-	for _, r := range ranked[:min(len(ranked), k.count)] {
+	for _, r := range ranked {
+		if need <= 0 && len(list) >= few {
+			break
+		}
 		list = append(list, byNode[r.Node])
+		need -= int(byNode[r.Node].GetWeight())
 	}
 	return list
 }
 
+// evenWeight gives all candidates the same chance.
+const evenWeight = 100
+
+// needs says how many slots the group's nodes of one hall must be able to carry, and how many nodes
+// there must be at least.
+func (c *carriers) needs(group desired.Group) (slots, nodes int) {
+	halls := max(len(c.halls()), 1)
+	if n := c.node.records.book.Load().nodes(string(group)); n > 0 {
+		return 0, (n + halls - 1) / halls
+	}
+	if t := c.node.records.table.Load(); t != nil {
+		for _, name := range t.ServicesOf(group) {
+			slots += c.slots[name]
+		}
+	}
+	return (slots + halls - 1) / halls, fewCarriers
+}
+
 // halls returns the halls of all ready nodes, in order.
 func (c *carriers) halls() []ident.Hall {
 	var halls []ident.Hall
@@ -107,9 +152,15 @@
 
 // all returns the nodes of all halls that carry the service.
 func (c *carriers) all(service string) []*tlv1.Member {
+	group := c.groupOf(service)
 	var list []*tlv1.Member
 	for _, h := range c.halls() {
-		list = append(list, c.inHall(service, h)...)
+		list = append(list, c.inHall(group, h)...)
 	}
 	return list
 }
+
+// near returns the nodes of this hall that carry the service.
+func (c *carriers) near(service string) []*tlv1.Member {
+	return c.inHall(c.groupOf(service), c.node.hall())
+}
--- a/node/duty.go
+++ b/node/duty.go
@@ -84,13 +84,13 @@
 // rank is this node's place in its hall in the order in which nodes watch, from 0.
 func (d *duty) rank() int {
 	n := d.node
-	candidates := []assign.Candidate{{Node: n.self.Node, Weight: memberWeight}}
+	candidates := []assign.Candidate{{Node: n.self.Node, Weight: evenWeight}}
 	now := n.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, m := range n.members.Live() {
 		if hallOf(m) == n.hall() && isReady(m) && now-d.deafAt[processOf(m)] >= deafFor {
-			candidates = append(candidates, assign.Candidate{Node: ident.Node(m.GetNode()), Weight: memberWeight})
+			candidates = append(candidates, assign.Candidate{Node: ident.Node(m.GetNode()), Weight: evenWeight})
 		}
 	}
 	return assign.Duty("watch", candidates, n.self.Node)
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -186,7 +186,7 @@
 	if o != pool.Good {
 		x.node.log.WithFields(logrus.Fields{
 			"event": "attempt_failed", "request": x.id, "service": x.service.name, "target": l.Target, "outcome": o,
-			"status": statusOf(a), "error": err, "ms": x.node.clock.Now() - from, "failing": fmt.Sprintf("%.2f", l.Failing), "why": l.Why,
+			"status": statusOf(a), "error": err, "ms": x.node.clock.Now() - from, "failing": fmt.Sprintf("%.2f", l.Failing), "why": l.Why, "load": fmt.Sprintf("%d/%d", l.InFlight, l.Slots),
 		}).Info()
 	}
 	return a, err
--- a/node/leave.go
+++ b/node/leave.go
@@ -64,7 +64,6 @@
 	l.begun.Store(true)
 	n.members.Leave()
 	n.duty.announce()
-	n.services.tick()
 	begin := n.clock.Now()
 	for n.clock.Now()-begin < grace*acceptShare/hundredths {
 		time.Sleep(leaveCheck.Duration())
--- a/node/node.go
+++ b/node/node.go
@@ -31,8 +31,10 @@
 	// dialTimeout bounds a new connection to a target: far above the way between halls, and low
 	// enough to try another target.
 	dialTimeout clock.Millis = 250
-	// memberWeight is the share of work of each node; all are alike.
-	memberWeight = 100
+	// slotsPerCore and slotsPerMbps are how many targets' slots a node can carry: a slot has about
+	// four requests a second, of about 1 ms of processor time and 10 KB both ways.
+	slotsPerCore = 200
+	slotsPerMbps = 2.8
 )
 
 // memberTiming finds a dead node in about a second and a half, and passes it over in the
@@ -104,7 +106,7 @@
 func (n *Node) build() {
 	s := n.settings()
 	self := &tlv1.Member{
-		Node: s.Node.Name, Incarnation: uint64(n.self.Incarnation), Hall: s.Node.Hall, Weight: memberWeight,
+		Node: s.Node.Name, Incarnation: uint64(n.self.Incarnation), Hall: s.Node.Hall, Weight: weightOf(s.Capacity),
 		GossipAddress: s.Node.PeersAddress(), PeerAddress: s.Node.PeersAddress(), CallerAddress: s.Node.Callers,
 	}
 	n.members = member.New(self, memberTiming, n.clock, newRand())
@@ -120,6 +122,11 @@
 	n.leaving = newLeaving(n)
 }
 
+// weightOf returns how many targets' slots the node can carry.
+func weightOf(c settings.Capacity) uint32 {
+	return uint32(max(min(c.Cores*slotsPerCore, c.LinkMbps*slotsPerMbps), 1))
+}
+
 // settings returns the settings in force.
 func (n *Node) settings() *settings.Settings {
 	return n.config.Load()
--- a/node/services.go
+++ b/node/services.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/clock"
@@ -19,6 +20,8 @@
 	// farEvery to those in others. Failures are told at once.
 	nearEvery clock.Millis = 20
 	farEvery  clock.Millis = 500
+	// usedFor is how long after its last report a node is told of evidence on a service's targets.
+	usedFor = 8 * clock.Second
 	// ratioShare is the part of the fleet's ratio of retries that each node uses, of its own requests.
 	ratioShare = 0.93
 	// carrierSlack is the part of the fleet's slack of retries that is dealt to the nodes that carry
@@ -37,6 +40,8 @@
 	nearAt clock.Millis
 	farAt  clock.Millis
 	queued bool
+	// users are other nodes that were heard to use the service, by when.
+	users map[ident.Process]clock.Millis
 	// carriers are the nodes that carried the service when last looked at.
 	carriers map[ident.Process]bool
 }
@@ -70,9 +75,9 @@
 func (s *services) add(name string) *service {
 	n := s.node
 	r := n.settings().Retries
-	svc := &service{name: name}
+	svc := &service{name: name, users: map[ident.Process]clock.Millis{}}
 	b := pool.NewBudget(n.clock, r.Ratio*ratioShare, s.slack(name), r.Window.Millis())
-	svc.pool = pool.New(pool.DefaultTuning, n.clock, newRand(), b, func(urgent bool) { s.report(svc, urgent) },
+	svc.pool = pool.New(pool.DefaultTuning, n.clock, newRand(), b, func(w pool.News) { s.report(svc, w) },
 		func(e pool.Event) { s.note(svc, e) })
 	s.byName[name] = svc
 	svc.pool.SetTargets(s.targets()[name])
@@ -123,6 +128,13 @@
 // refresh takes over the targets that are known now.
 func (s *services) refresh() {
 	targets := s.targets()
+	slots := make(map[string]int, len(targets))
+	for name, list := range targets {
+		for _, t := range list {
+			slots[name] += t.Slots
+		}
+	}
+	s.node.carriers.setSlots(slots)
 	s.mu.Lock()
 	for _, name := range s.named() {
 		if s.byName[name] == nil {
@@ -144,69 +156,124 @@
 	return names
 }
 
-// report tells the service's other nodes what this one has seen: those of this hall soon, the
-// others now and then, and all at once if it is urgent.
-func (s *services) report(svc *service, urgent bool) {
+// report tells the service's other nodes what this one has seen: its load those of this hall, soon;
+// evidence, and the load of targets elsewhere, all, at once.
+func (s *services) report(svc *service, w pool.News) {
 	now := s.node.clock.Now()
 	svc.mu.Lock()
-	if !urgent && now-svc.nearAt < nearEvery {
-		svc.queued = true
+	if wait := nearEvery - (now - svc.nearAt); w == pool.LoadNear && wait > 0 {
+		if !svc.queued {
+			svc.queued = true
+			time.AfterFunc(wait.Duration(), func() { s.flush(svc) })
+		}
 		svc.mu.Unlock()
 		return
 	}
-	far := urgent || now-svc.farAt >= farEvery
-	svc.nearAt, svc.queued = now, false
-	if far {
-		svc.farAt = now
+	to := carriersNear
+	if w != pool.LoadNear || now-svc.farAt >= farEvery {
+		to, svc.farAt = carriersAll, now
 	}
+	if w == pool.Evidence {
+		to = allUsers
+	}
+	svc.nearAt = now
 	svc.mu.Unlock()
-	s.send(svc, far)
+	s.send(svc, to)
 }
 
-func (s *services) send(svc *service, far bool) {
+// An audience says which other nodes a report is for.
+type audience int
+
+// Audiences, each with the ones before it.
+const (
+	// carriersNear are the nodes of this hall that carry the service.
+	carriersNear audience = iota
+	// carriersAll are those of all halls.
+	carriersAll
+	// allUsers are all nodes that used the service of late.
+	allUsers
+)
+
+// flush sends what waited to be told.
+func (s *services) flush(svc *service) {
+	svc.mu.Lock()
+	svc.queued = false
+	svc.mu.Unlock()
+	s.report(svc, pool.LoadNear)
+}
+
+func (s *services) send(svc *service, to audience) {
 	n := s.node
 	r := svc.pool.Report(false)
 	if r == nil {
 		return
 	}
 	s.sign(svc, r)
-	members := n.carriers.inHall(svc.name, n.hall())
-	if far {
+	members := n.carriers.near(svc.name)
+	if to >= carriersAll {
 		members = n.carriers.all(svc.name)
 	}
+	if to == allUsers {
+		members = s.withUsers(svc, members)
+	}
 	addresses := gossipAddresses(members, func(m *tlv1.Member) bool { return m.GetNode() != string(n.self.Node) })
 	n.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Report{Report: r}}, addresses...)
 }
 
+// withUsers adds the nodes that used the service of late to those that carry it.
+func (s *services) withUsers(svc *service, carriers []*tlv1.Member) []*tlv1.Member {
+	now := s.node.clock.Now()
+	list := slices.Clone(carriers)
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	for _, m := range s.node.members.Live() {
+		p := processOf(m)
+		if at, used := svc.users[p]; !used || now-at > usedFor {
+			delete(svc.users, p)
+			continue
+		}
+		if !slices.ContainsFunc(carriers, func(c *tlv1.Member) bool { return processOf(c) == p }) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 func (s *services) sign(svc *service, r *tlv1.Report) {
 	r.Node, r.Incarnation, r.Service = string(s.node.self.Node), uint64(s.node.self.Incarnation), svc.name
 }
 
-// tick sends what waited to be told, and follows the members.
+// refreshLoad tells other nodes now and then of requests that have been in flight for long.
+func (s *services) refreshLoad() {
+	now := s.node.clock.Now()
+	for _, svc := range s.all() {
+		svc.mu.Lock()
+		due := now-svc.farAt >= farEvery
+		if due {
+			svc.farAt = now
+		}
+		svc.mu.Unlock()
+		if due {
+			s.send(svc, carriersAll)
+		}
+	}
+}
+
+// tick follows the members, and keeps other nodes told.
 func (s *services) tick() {
 	s.mu.Lock()
 	v := s.node.members.Version()
 	changed := v != s.members
 	s.members = v
 	s.mu.Unlock()
-	if changed {
-		s.refresh() // a hall may have come or gone
-		s.welcome()
+	s.refreshLoad()
+	if !changed {
+		return
 	}
-	now := s.node.clock.Now()
+	s.refresh() // a hall may have come or gone
+	s.welcome()
 	for _, svc := range s.all() {
 		svc.pool.Budget().SetSlack(s.slack(svc.name))
-		svc.mu.Lock()
-		queued := svc.queued
-		svc.queued = false
-		far := now-svc.farAt >= farEvery
-		if far && queued {
-			svc.farAt = now
-		}
-		svc.mu.Unlock()
-		if queued {
-			s.send(svc, far)
-		}
 	}
 }
 
@@ -253,6 +320,9 @@
 		return
 	}
 	from := ident.Process{Node: ident.Node(r.GetNode()), Incarnation: ident.Incarnation(r.GetIncarnation())}
+	svc.mu.Lock()
+	svc.users[from] = s.node.clock.Now()
+	svc.mu.Unlock()
 	svc.pool.Hear(from, r)
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -119,7 +119,7 @@
 	FarCost:          0.04,
 	LoadCost:         0.05,
 	UnreachableFor:   1500,
-	PeerAge:          1500,
+	PeerAge:          2100,
 	Hold:             0.15,
 	Overcommit:       1,
 	JoinWait:         1500,
@@ -177,17 +177,31 @@
 	used    bool
 	gone    bool
 	changed bool
+	// toldAt is when the other nodes were last told of it.
+	toldAt clock.Millis
 }
 
+// News says who should hear what has changed, and how soon.
+type News int
+
+// News by how far it should go.
+const (
+	// LoadNear is the load of targets of this hall, for this hall's nodes.
+	LoadNear News = iota
+	// LoadFar is the load of targets of other halls, for all nodes at once.
+	LoadFar
+	// Evidence on a target is for all nodes at once.
+	Evidence
+)
+
 // A Pool struct holds the targets of one service. It is safe for concurrent use.
 type Pool struct {
 	clock  clock.Clock
 	rand   *rand.Rand
 	tuning Tuning
 	budget *Budget
-	// changed is called, with no lock held, when there is something to tell the other nodes;
-	// urgent says that it should not wait.
-	changed func(urgent bool)
+	// changed is called, with no lock held, when there is something to tell the other nodes.
+	changed func(n News)
 	// tell is called, with no lock held, for each change in what is believed of a target.
 	tell func(Event)
 
@@ -233,7 +247,7 @@
 }
 
 // New returns a pool without targets.
-func New(t Tuning, c clock.Clock, r *rand.Rand, b *Budget, changed func(urgent bool), tell func(Event)) *Pool {
+func New(t Tuning, c clock.Clock, r *rand.Rand, b *Budget, changed func(n News), tell func(Event)) *Pool {
 	return &Pool{
 		clock: c, rand: r, tuning: t, budget: b, changed: changed, tell: tell,
 		targets: map[ident.Target]*target{}, waiting: list.New(), serviceTime: float64(t.FirstServiceTime),
@@ -280,8 +294,10 @@
 	// Why says why the target was chosen, and Failing how likely it was thought to be failing.
 	Why     Reason
 	Failing float64
-	from    clock.Millis
-	done    bool
+	// InFlight is what all nodes were thought to have at the target, this request too, of Slots.
+	InFlight, Slots int
+	from            clock.Millis
+	done            bool
 }
 
 func (p *Pool) lease(t *target, why Reason, now clock.Millis) *Lease {
@@ -290,7 +306,8 @@
 	t.changed = true
 	return &Lease{
 		pool: p, target: t, Target: t.ID, Address: t.Address, Why: why, from: now,
-		Failing: t.belief.Failing(&p.tuning.Model, now),
+		Failing:  t.belief.Failing(&p.tuning.Model, now),
+		InFlight: p.inFlight(t, now), Slots: t.Slots,
 	}
 }
 
@@ -324,7 +341,18 @@
 	p.mu.Unlock()
 	call(grants)
 	p.tellAll(events)
-	p.changed(urgent)
+	p.changed(l.news(urgent))
+}
+
+// news says who should hear of the lease's begin or end.
+func (l *Lease) news(evidence bool) News {
+	switch {
+	case evidence:
+		return Evidence
+	case !l.target.Near:
+		return LoadFar
+	}
+	return LoadNear
 }
 
 func (p *Pool) takeEvents() []Event {
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -35,6 +35,14 @@
 // Acquire returns a lease on the best target, waiting for a free slot if it must. It fails with
 // ErrNoTarget or *BusyError when waiting is of no use, or with the context's error.
 func (p *Pool) Acquire(ctx context.Context, a *Ask) (*Lease, error) {
+	l, err := p.acquire(ctx, a)
+	if l != nil {
+		p.changed(l.news(false))
+	}
+	return l, err
+}
+
+func (p *Pool) acquire(ctx context.Context, a *Ask) (*Lease, error) {
 	p.mu.Lock()
 	if l, err := p.enter(a); l != nil || err != nil {
 		p.mu.Unlock()
--- a/pool/share.go
+++ b/pool/share.go
@@ -7,14 +7,18 @@
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
 
+// refreshes is how often a load that does not change is told while it counts without being heard.
+const refreshes = 3
+
 // thousand is the unit of likelihoods in reports.
 const thousand = 1000
 
 // never stands for an age of what never was.
 const never = -1
 
-// Report returns what this node has seen of the targets that changed since the last call, or of
-// all if whole, for the other nodes; nil if nothing did.
+// Report returns what this node has seen of the targets that changed since the last call, and now
+// and then of those that it has requests at, or of all if whole, for the other nodes; nil if there is
+// nothing to tell.
 func (p *Pool) Report(whole bool) *tlv1.Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -22,10 +26,13 @@
 	ended := p.ended.sum(now)
 	r := &tlv1.Report{Whole: whole, Asked: uint32(ended.asked), Unserved: uint32(ended.unserved)}
 	for _, t := range p.order {
-		if !t.changed && !(whole && t.knownAt > 0) {
+		stale := t.mine > 0 && now-t.toldAt >= p.tuning.PeerAge/refreshes
+		if !t.changed && !stale && !(whole && t.knownAt > 0) {
 			continue
 		}
-		t.changed = t.changed && whole
+		if !whole {
+			t.changed, t.toldAt = false, now
+		}
 		r.Seen = append(r.Seen, &tlv1.Seen{
 			Target: string(t.ID), OkMs: age(t.okAt, now), FailedMs: age(t.failedAt, now),
 			Failed: t.failures, Late: t.lates, InFlight: uint32(t.mine), Unreachable: now < t.blockedUntil, Leaving: t.left,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -103,6 +103,13 @@
 	HeaderBytes int   `toml:"header_bytes"`
 }
 
+// Capacity says what the node's VM has.
+type Capacity struct {
+	// Cores is its share of processor cores, and LinkMbps the bandwidth of its link.
+	Cores    float64 `toml:"cores"`
+	LinkMbps float64 `toml:"link_mbps"`
+}
+
 // Log says how much is logged.
 type Log struct {
 	Level string `toml:"level"`
@@ -117,6 +124,7 @@
 	Retries   Retries   `toml:"retries"`
 	Operators Operators `toml:"operators"`
 	Limits    Limits    `toml:"limits"`
+	Capacity  Capacity  `toml:"capacity"`
 	Log       Log       `toml:"log"`
 }
 
@@ -132,6 +140,8 @@
 	defaultRatio       = 0.2
 	defaultSlack       = 60
 	defaultWindow      = 10 * clock.Second
+	defaultCores       = 1
+	defaultLinkMbps    = 1000
 	minKeyBytes        = 16
 	hashBytes          = 32
 )
@@ -142,9 +152,10 @@
 		Bounds: Bounds{
 			Apply: Span(defaultApply), Grace: Span(defaultGrace), Leave: Span(defaultLeave), Valid: Span(defaultValid),
 		},
-		Retries: Retries{Ratio: defaultRatio, Slack: defaultSlack, Window: Span(defaultWindow)},
-		Limits:  Limits{Requests: defaultRequests, BodyBytes: defaultBodyBytes, HeaderBytes: defaultHeaderBytes},
-		Log:     Log{Level: "info"},
+		Retries:  Retries{Ratio: defaultRatio, Slack: defaultSlack, Window: Span(defaultWindow)},
+		Limits:   Limits{Requests: defaultRequests, BodyBytes: defaultBodyBytes, HeaderBytes: defaultHeaderBytes},
+		Capacity: Capacity{Cores: defaultCores, LinkMbps: defaultLinkMbps},
+		Log:      Log{Level: "info"},
 	}
 }
 
@@ -243,6 +254,9 @@
 	c.positive("limits.requests", int64(s.Limits.Requests))
 	c.positive("limits.body_bytes", s.Limits.BodyBytes)
 	c.positive("limits.header_bytes", int64(s.Limits.HeaderBytes))
+	if !(s.Capacity.Cores > 0) || !(s.Capacity.LinkMbps > 0) {
+		c.add("capacity", "cores %v and link_mbps %v must be positive", s.Capacity.Cores, s.Capacity.LinkMbps)
+	}
 	if !(s.Retries.Ratio >= 0) || !(s.Retries.Slack >= 0) {
 		c.add("retries", "ratio %v and slack %v may not be negative", s.Retries.Ratio, s.Retries.Slack)
 	}
