--- /dev/null
+++ b/belief/belief_test.go
@@ -0,0 +1,89 @@
+package belief_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/belief"
+	"github.com/tinladder/tinladder/clock"
+	"pgregory.net/rapid"
+)
+
+func TestOneFailureSaysMuch(t *testing.T) {
+	is := is.New(t)
+	m := belief.DefaultModel
+	b := belief.New(&m, 0)
+	is.True(b.Failing(&m, 0) == m.Prior())
+	b.Failed(&m, 0)
+	is.True(b.Failing(&m, 0) > 0.9)
+	b.Good(&m, 0)
+	after := b.Failing(&m, 0)
+	is.True(after < 0.95)
+	b.Good(&m, 0)
+	b.Good(&m, 0)
+	is.True(b.Failing(&m, 0) < after/4)
+}
+
+func TestLateSaysLessThanFailed(t *testing.T) {
+	is := is.New(t)
+	m := belief.DefaultModel
+	late, failed, good := belief.New(&m, 0), belief.New(&m, 0), belief.New(&m, 0)
+	late.Late(&m, 0)
+	failed.Failed(&m, 0)
+	good.Good(&m, 0)
+	is.True(good.Failing(&m, 0) < m.Prior())
+	is.True(late.Failing(&m, 0) > m.Prior())
+	is.True(late.Failing(&m, 0) < failed.Failing(&m, 0))
+}
+
+// TestBeliefs takes in answers at any times. A belief stays a likelihood, a failure never makes it
+// less, a good answer never more, and time takes it towards the prior.
+func TestBeliefs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := belief.DefaultModel
+		now := clock.Millis(0)
+		b := belief.New(&m, now)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			was := b.Failing(&m, now)
+			later := now + clock.Millis(rapid.IntRange(0, 5000).Draw(t, "ms"))
+			f := b.Failing(&m, later)
+			if (f-m.Prior())*(was-m.Prior()) < 0 || abs(f-m.Prior()) > abs(was-m.Prior())+1e-12 {
+				t.Fatalf("time took %v to %v, away from %v", was, f, m.Prior())
+			}
+			now = later
+			switch rapid.IntRange(0, 2).Draw(t, "answer") {
+			case 0:
+				b.Good(&m, now)
+				check(t, b.Failing(&m, now) <= f+1e-12, "a good answer made it likelier")
+			case 1:
+				b.Failed(&m, now)
+				check(t, b.Failing(&m, now) >= f-1e-12, "a failure made it less likely")
+			case 2:
+				b.Late(&m, now)
+				check(t, b.Failing(&m, now) >= f-1e-12, "a late answer made it less likely")
+			}
+			p := b.Fails(&m, now)
+			check(t, p >= m.SoundFails-1e-12 && p <= m.FailingFails+1e-12, "it is no likelihood")
+		}
+	})
+}
+
+func check(t *rapid.T, ok bool, what string) {
+	if !ok {
+		t.Fatal(what)
+	}
+}
+
+func abs(x float64) float64 {
+	return max(x, -x)
+}
+
+func TestTakenIsBounded(t *testing.T) {
+	is := is.New(t)
+	m := belief.DefaultModel
+	for _, f := range []float64{-1, 0, 0.5, 1, 70} {
+		b := belief.Taken(f, 10)
+		is.True(b.Failing(&m, 10) >= 0)
+		is.True(b.Failing(&m, 10) <= 1)
+	}
+}
--- /dev/null
+++ b/forward/send_test.go
@@ -0,0 +1,364 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/forward"
+)
+
+// script is a target that answers each request with the next of its answers, as they stand.
+type script struct {
+	t        *testing.T
+	address  string
+	accepted atomic.Int32
+	requests atomic.Int32
+	paths    chan string
+}
+
+// serve answers connection after connection. Each connection gets the answers from the first on; a
+// connection closes after an answer that is empty, or after the last one.
+func serve(t *testing.T, answers ...string) *script {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &script{t: t, address: l.Addr().String(), paths: make(chan string, 100)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted.Add(1)
+			go s.connection(c, answers)
+		}
+	}()
+	return s
+}
+
+func (s *script) connection(c net.Conn, answers []string) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for _, a := range answers {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		s.requests.Add(1)
+		s.paths <- req.RequestURI
+		if a == "" {
+			return
+		}
+		_, _ = io.WriteString(c, a)
+	}
+	_, _ = io.Copy(io.Discard, c)
+}
+
+func ok(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string {
+	return strings.TrimLeft(string([]byte{'0' + byte(n/10), '0' + byte(n%10)}), "0")
+}
+
+func request(id string) *forward.Request {
+	return &forward.Request{
+		Method: http.MethodGet, Target: "/p?q=1", Host: "h", Header: http.Header{}, ID: id, IDHeader: "X-Id", MaxIdle: clock.Minute,
+	}
+}
+
+func newConns() *forward.Conns {
+	return forward.NewConns(clock.NewSystem(), 200)
+}
+
+func send(t *testing.T, p *forward.Conns, s *script, r *forward.Request) (*forward.Answer, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return p.Send(ctx, s.address, r)
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, ok("1", "one"), ok("2", "two"), ok("3", "three"))
+	p := newConns()
+	for i, want := range []string{"one", "two", "three"} {
+		a, err := send(t, p, s, request(string(rune('1'+i))))
+		is.NoErr(err)
+		is.Equal(string(a.Body), want)
+		is.Equal(<-s.paths, "/p?q=1")
+	}
+	is.Equal(s.accepted.Load(), int32(1))
+}
+
+// TestStrayAnswers has answers come that belong to other requests, in every place.
+func TestStrayAnswers(t *testing.T) {
+	cases := []struct {
+		name    string
+		answers []string
+	}{
+		{"extra, at once", []string{ok("1", "one") + ok("1", "one"), ok("2", "two")}},
+		{"late, in the next one's place", []string{ok("1", "one"), ok("1", "one") + ok("2", "two")}},
+		{"bytes that are no answer", []string{ok("1", "one") + "rubbish", ok("2", "two")}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, c.answers...)
+			p := newConns()
+			a, err := send(t, p, s, request("1"))
+			is.NoErr(err)
+			is.Equal(string(a.Body), "one")
+			time.Sleep(20 * time.Millisecond) // let what is extra arrive
+			a, err = send(t, p, s, request("2"))
+			if err == nil {
+				is.Equal(string(a.Body), "two")
+			}
+			is.True(err == nil || !strings.Contains(err.Error(), "one"))
+		})
+	}
+}
+
+func TestOnlyStrayAnswersFail(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, ok("9", "a")+ok("8", "b")+ok("7", "c"))
+	_, err := send(t, newConns(), s, request("1"))
+	is.True(errors.Is(err, forward.ErrAnswer))
+	is.True(errors.Is(err, forward.ErrSent))
+}
+
+func TestAnswerWithoutIDCountsOnlyIfItMay(t *testing.T) {
+	is := is.New(t)
+	plain := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+	_, err := send(t, newConns(), serve(t, plain), request("1"))
+	is.True(err != nil)
+	r := request("1")
+	r.IDOptional = true
+	a, err := send(t, newConns(), serve(t, plain), r)
+	is.NoErr(err)
+	is.Equal(string(a.Body), "hi")
+}
+
+// TestCutAnswersAreNotWhole ends answers early, in every way.
+func TestCutAnswersAreNotWhole(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf",
+		"chunks":     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"header":     "HTTP/1.1 200 OK\r\nX-Id: 1\r\n",
+		"no answer":  "",
+		"not HTTP":   "hello\r\n\r\n",
+		"long lines": "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 100<<10),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, answer, "")
+			_, err := send(t, newConns(), s, request("1"))
+			is.True(err != nil)
+			is.True(errors.Is(err, forward.ErrSent))
+			is.Equal(s.requests.Load(), int32(1)) // it is never sent again
+		})
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nall of it", "")
+	go func() { <-s.paths }()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nall of it")
+		_ = c.Close()
+	}()
+	a, err := newConns().Send(context.Background(), l.Addr().String(), request("1"))
+	is.NoErr(err)
+	is.Equal(string(a.Body), "all of it")
+	is.True(a.Closing)
+}
+
+func TestNoConnectionIsToldApart(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	_ = l.Close()
+	_, err = newConns().Send(context.Background(), address, request("1"))
+	is.True(errors.Is(err, forward.ErrNoConnection))
+	is.True(!errors.Is(err, forward.ErrSent))
+}
+
+// TestClosedIdleConnectionIsNotUsed has the target close a connection that rests.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, ok("1", "one"), "")
+	p := newConns()
+	_, err := send(t, p, s, request("1"))
+	is.NoErr(err)
+	// The script closes the connection at its second request, which goes out on it: lost, and not
+	// sent again.
+	_, err = send(t, p, s, request("2"))
+	is.True(errors.Is(err, forward.ErrSent))
+	is.Equal(s.requests.Load(), int32(2))
+	a, err := send(t, p, s, request("1"))
+	is.NoErr(err)
+	is.Equal(string(a.Body), "one")
+}
+
+func TestKeepAliveTimeIsKept(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(1000)
+	s := serve(t, strings.Replace(ok("1", "one"), "X-Id", "Keep-Alive: timeout=3\r\nX-Id", 1), ok("2", "two"))
+	p := forward.NewConns(c, 200)
+	_, err := send(t, p, s, request("1"))
+	is.NoErr(err)
+	c.Advance(2001)
+	_, err = send(t, p, s, request("1"))
+	is.NoErr(err)
+	is.Equal(s.accepted.Load(), int32(2)) // a second before the target would close it
+}
+
+func TestRestedConnectionIsLeftToOthers(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(1000)
+	s := serve(t, ok("1", "one"), ok("1", "one"))
+	p := forward.NewConns(c, 200)
+	_, err := send(t, p, s, request("1"))
+	is.NoErr(err)
+	c.Advance(100)
+	r := request("1")
+	r.MaxIdle = 50
+	_, err = send(t, p, s, r)
+	is.NoErr(err)
+	is.Equal(s.accepted.Load(), int32(2))
+}
+
+func TestCancelEndsTheRequest(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	closed := make(chan bool)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, c) // until the other side closes
+		closed <- true
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err = newConns().Send(ctx, l.Addr().String(), request("1"))
+	is.True(errors.Is(err, forward.ErrSent))
+	is.True(<-closed)
+}
+
+// TestEarlyAnswerSpoilsTheConnection has a target answer before it has read a long body: what is left
+// of the body must not be followed by another request.
+func TestEarlyAnswerSpoilsTheConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	accepted := atomic.Int32{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			go func() {
+				r := bufio.NewReader(c)
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, ok("1", "early"))
+			}()
+		}
+	}()
+	p := newConns()
+	r := request("1")
+	r.Method, r.Stream, r.Length = http.MethodPost, io.LimitReader(zeros{}, 32<<20), 32<<20
+	a, err := p.Send(context.Background(), l.Addr().String(), r)
+	is.NoErr(err)
+	is.Equal(string(a.Body), "early")
+	_, err = p.Send(context.Background(), l.Addr().String(), request("1"))
+	is.NoErr(err)
+	is.Equal(accepted.Load(), int32(2))
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// TestLargeAnswerComesInParts reads an answer that is not kept whole.
+func TestLargeAnswerComesInParts(t *testing.T) {
+	is := is.New(t)
+	const size = 1 << 20
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1048576\r\n\r\n")
+			_, _ = io.CopyN(c, zeros{}, size)
+		}
+	}()
+	p := newConns()
+	for range 2 {
+		a, err := p.Send(context.Background(), l.Addr().String(), request("1"))
+		is.NoErr(err)
+		is.True(a.Rest != nil)
+		rest, err := io.ReadAll(a.Rest)
+		is.NoErr(err)
+		is.Equal(len(a.Body)+len(rest), size)
+		is.NoErr(a.Rest.Close())
+	}
+	is.Equal(p.Dials(), uint64(1))
+}
+
+func TestPathsAreWrittenAsTheyStand(t *testing.T) {
+	for _, path := range []string{"/", "/a%2Fb?x=%20&y", "//double/slash", "/a?", "/ä"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, ok("1", "one"))
+			r := request("1")
+			r.Target = path
+			_, err := send(t, newConns(), s, r)
+			is.NoErr(err)
+			is.Equal(<-s.paths, path)
+		})
+	}
+}
--- a/node/duty.go
+++ b/node/duty.go
@@ -18,20 +18,21 @@
 
 const (
 	// watchWait is how long a watcher's question to the store waits for changes.
-	watchWait clock.Millis = 2500
+	watchWait clock.Millis = 1300
 	// confirmEvery is how often a watcher tells its hall what the store holds.
 	confirmEvery clock.Millis = 300
 	// repairEvery is how often each node compares itself with another by chance, and passNews how
 	// many it tells of news that it got from another node.
 	repairEvery = 1 * clock.Second
 	passNews    = 2
-	// staleAfter is how old the last word of the store may be, beyond the wait of a watcher's
-	// question, before a node asks the store itself.
-	staleAfter clock.Millis = 1200
+	// staleAfter is how old the last word of the store may be before a node asks the store itself:
+	// more than the wait of a watcher's question, and so little that a node that was just cut off
+	// from the watchers still has a change in force within the platform's 2 s.
+	staleAfter clock.Millis = 1550
 	// stalePerRank is how much longer each node waits than the one ranked before it, and
 	// staleMost the most of it.
-	stalePerRank clock.Millis = 30
-	staleMost    clock.Millis = 400
+	stalePerRank clock.Millis = 10
+	staleMost    clock.Millis = 150
 	// patienceLeast and patienceMore set how long a node that has just started waits for others.
 	patienceLeast clock.Millis = 60
 	patienceMore  clock.Millis = 120
--- /dev/null
+++ b/node/fleet_test.go
@@ -0,0 +1,247 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/tinladder/tinladder"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/emulate"
+	"github.com/tinladder/tinladder/node"
+	"github.com/tinladder/tinladder/platform/standin"
+	"github.com/tinladder/tinladder/settings"
+)
+
+// patience is the longest that a test waits for what must come. It bounds no promise.
+const patience = 20 * time.Second
+
+// fleet is a stand-in for the platform, and nodes in this process on loopback.
+type fleet struct {
+	t     *testing.T
+	clock clock.Clock
+	store *standin.Store
+	nodes []*testNode
+	http  *http.Client
+}
+
+// testNode is one node. It reaches the store by a door of its own.
+type testNode struct {
+	name, hall                           string
+	callers, peers, readiness, directory string
+	door                                 *standin.Door
+	path                                 string
+	node                                 *node.Node
+	stop                                 context.CancelFunc
+	log                                  *lines
+}
+
+// lines keeps what a node logs.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// newFleet starts nodes in three halls. They know no desired state yet.
+func newFleet(t *testing.T, nodes int) *fleet {
+	c := clock.NewSystem()
+	f := &fleet{
+		t: t, clock: c, store: standin.New(c, 20*clock.Second),
+		http: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 16}},
+	}
+	for i := range nodes {
+		n := &testNode{name: fmt.Sprint("n", i), hall: fmt.Sprint("h", i%3), door: standin.NewDoor(f.store), log: &lines{}}
+		free := emulate.Addresses(4)
+		n.callers, n.peers, n.readiness, n.directory = free[0], free[1], free[2], free[3]
+		f.nodes = append(f.nodes, n)
+	}
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			n.stop()
+		}
+		if t.Failed() {
+			for _, n := range f.nodes {
+				t.Logf("%s:\n%s", n.name, n.log)
+			}
+		}
+	})
+	return f
+}
+
+func (f *fleet) settingsOf(n *testNode, more string) string {
+	seeds := fmt.Sprintf("%q", f.nodes[0].peers)
+	if len(f.nodes) > 1 {
+		seeds += fmt.Sprintf(", %q", f.nodes[1].peers)
+	}
+	s := httptest.NewServer(n.door)
+	f.t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return fmt.Sprintf(`
+[node]
+name = %q
+hall = %q
+callers = %q
+peers = %q
+readiness = %q
+directory = %q
+[store]
+address = %q
+[fleet]
+seeds = [%s]
+[bounds]
+grace = "2s"
+%s
+`, n.name, n.hall, n.callers, n.peers, n.readiness, n.directory, s.Listener.Addr(), seeds, more)
+}
+
+func (f *fleet) start(n *testNode) {
+	f.t.Helper()
+	n.path = filepath.Join(f.t.TempDir(), n.name+".toml")
+	if err := os.WriteFile(n.path, []byte(f.settingsOf(n, "")), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	s, err := settings.Load(n.path)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(n.log)
+	log.SetLevel(logrus.DebugLevel)
+	p := tinladder.On(s.Store.Address, f.clock, log)
+	if n.node, err = node.New(s, n.path, p, f.clock, log); err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	go func() { _ = n.node.Run(ctx) }()
+}
+
+// target starts a target of a service that takes 5 ms for a request.
+func (f *fleet) target(id, service string) *standin.Target {
+	f.t.Helper()
+	t, err := standin.NewTarget(f.store, id, service, "h0", 3, 5*time.Millisecond)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(t.Close)
+	return t
+}
+
+// route is a route of host "shop" to a service.
+func route(prefix, kind, service string) standin.RouteRow {
+	return standin.RouteRow{
+		Name: prefix, Host: "shop", Prefix: prefix, Kind: kind, Timeout: "1000ms", Aim: "400ms", Service: service, Attempts: 2,
+	}
+}
+
+// calm is a state with a repeatable and a run-once route to the service "desk".
+func (f *fleet) calm(version uint64) {
+	f.store.Configure(version, []string{"desk", "clerk"}, route("/get/", standin.Repeatable, "desk"), route("/once/", standin.RunOnce, "desk"))
+}
+
+// ready waits until all nodes know the version and so many targets.
+func (f *fleet) ready(version, targets int) {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		f.eventually(n.name+" is ready", func() bool {
+			text := n.log.String()
+			return f.status(n.readiness, "/api/ready") == http.StatusOK &&
+				strings.Contains(text, fmt.Sprintf("event=state_in_force from=")) && strings.Contains(text, fmt.Sprintf("version=%d\n", version)) &&
+				strings.Count(text, "event=target_record") >= targets
+		})
+	}
+}
+
+func (f *fleet) status(address, path string) int {
+	res, err := f.http.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.StatusCode
+}
+
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("never: %s", what)
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// broken says that the answer ended early, or did not come.
+	broken bool
+	took   time.Duration
+}
+
+// call sends a request for host "shop" to the node.
+func (f *fleet) call(n *testNode, method, path, id, body string) reply {
+	return f.callWithin(n, method, path, id, body, 3000)
+}
+
+func (f *fleet) callWithin(n *testNode, method, path, id, body string, deadline int) reply {
+	req, err := http.NewRequest(method, "http://"+n.callers+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host = "shop"
+	req.GetBody = nil // keep the client from sending it twice
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline))
+	start := time.Now()
+	res, err := f.http.Do(req)
+	if err != nil {
+		return reply{broken: true, took: time.Since(start)}
+	}
+	defer func() { _ = res.Body.Close() }()
+	got, err := io.ReadAll(res.Body)
+	return reply{status: res.StatusCode, header: res.Header, body: string(got), broken: err != nil, took: time.Since(start)}
+}
+
+// ran counts how often the targets ran the request.
+func ran(id string, targets ...*standin.Target) int {
+	count := 0
+	for _, t := range targets {
+		for _, s := range t.Seen() {
+			if s.ID == id && s.Ran {
+				count++
+			}
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/node/leave_test.go
@@ -0,0 +1,126 @@
+package node_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/platform/standin"
+)
+
+// resolve asks a node which addresses callers should use.
+func (f *fleet) resolve(n *testNode, hall string) []string {
+	res, err := f.http.Get("http://" + n.directory + "/api/resolve?name=shop&region=r&zone=" + hall)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	var a struct {
+		Addresses []string `json:"addresses"`
+		TTL       string   `json:"ttl"`
+	}
+	if json.NewDecoder(res.Body).Decode(&a) != nil || a.TTL == "" {
+		return nil
+	}
+	return a.Addresses
+}
+
+// TestLeavingCutsNothing stops a node under load: what came to it is answered, its callers are sent
+// away, and the directory leaves it out at once.
+func TestLeavingCutsNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	target, err := standin.NewTarget(f.store, "i-1", "desk", "h0", 30, 300*time.Millisecond)
+	is.NoErr(err)
+	defer target.Close()
+	f.calm(3)
+	f.ready(3, 1)
+	n := f.nodes[2]
+	var mu sync.Mutex
+	bad := []string{}
+	sentAway := 0
+	stop := make(chan bool)
+	var wg sync.WaitGroup
+	for w := range 6 {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("w%d-%d", w, i)
+				r := f.call(n, http.MethodPost, "/once/", id, "pay")
+				mu.Lock()
+				if r.header.Get("Connection") == "close" || r.status == http.StatusOK && r.header == nil {
+					sentAway++
+				}
+				if r.broken && ran(id, target) > 0 || !r.broken && r.status != http.StatusOK {
+					bad = append(bad, fmt.Sprint(id, " ", r.status, " broken ", r.broken))
+				}
+				mu.Unlock()
+				if r.broken {
+					return // as a caller does that goes elsewhere
+				}
+			}
+		})
+	}
+	time.Sleep(400 * time.Millisecond)
+	n.stop()
+	start := time.Now()
+	f.eventually("it is not ready", func() bool { return f.status(n.readiness, "/api/ready") != http.StatusOK })
+	is.True(time.Since(start) < 200*time.Millisecond)
+	f.eventually("the directory leaves it out", func() bool { return !slices.Contains(f.resolve(f.nodes[0], "h2"), n.callers) })
+	is.True(time.Since(start) < 500*time.Millisecond)
+	<-n.node.Done()
+	is.True(time.Since(start) < 2*time.Second) // the grace period of the settings
+	close(stop)
+	wg.Wait()
+	is.Equal(bad, []string{})
+}
+
+func TestDirectoryNamesNodesOfTheCallersHall(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 9)
+	f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	halls := map[string]string{}
+	for _, n := range f.nodes {
+		halls[n.callers] = n.hall
+	}
+	f.eventually("all know each other", func() bool {
+		for _, n := range f.nodes {
+			for _, h := range []string{"h0", "h1", "h2"} {
+				if list := f.resolve(n, h); len(list) != 2 || halls[list[0]] != h || halls[list[1]] != h {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	for _, h := range []string{"h0", "h1", "h2"} { // all nodes say the same
+		want := f.resolve(f.nodes[0], h)
+		for _, n := range f.nodes {
+			is.Equal(f.resolve(n, h), want)
+		}
+	}
+	is.True(len(f.resolve(f.nodes[0], "elsewhere")) >= 2)
+}
+
+// TestDirectoryLeavesSilentNodesOut stops a node without a word.
+func TestDirectoryLeavesSilentNodesOut(t *testing.T) {
+	f := newFleet(t, 6)
+	f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	gone := f.nodes[3]
+	f.eventually("it is named", func() bool { return slices.Contains(f.resolve(f.nodes[0], gone.hall), gone.callers) })
+	gone.node.Close()
+	f.eventually("it is left out", func() bool { return !slices.Contains(f.resolve(f.nodes[0], gone.hall), gone.callers) })
+}
--- a/node/node.go
+++ b/node/node.go
@@ -225,6 +225,11 @@
 	return n.done
 }
 
+// Close ends the node at once, without a word to anybody. Requests in flight are cut.
+func (n *Node) Close() {
+	n.close()
+}
+
 func (n *Node) startParts(ctx context.Context) []*part {
 	parts := []*part{
 		start(ctx, n.receive),
--- a/node/reload.go
+++ b/node/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"slices"
 	"syscall"
 	"time"
@@ -24,6 +25,7 @@
 	t := time.NewTicker(settingsEvery.Duration())
 	defer t.Stop()
 	last := stampOf(n.path)
+	n.reload("changed while the node started")
 	for {
 		select {
 		case <-ctx.Done():
@@ -63,6 +65,9 @@
 		return
 	}
 	old := n.settings()
+	if reflect.DeepEqual(next, old) {
+		return
+	}
 	if next.Node != old.Node || next.Store != old.Store || !slices.Equal(next.Fleet.Keys, old.Fleet.Keys) {
 		n.log.WithFields(logrus.Fields{"event": "settings_need_restart"}).Warn()
 		next.Node, next.Store, next.Fleet.Keys = old.Node, old.Store, old.Fleet.Keys
--- /dev/null
+++ b/node/request_test.go
@@ -0,0 +1,296 @@
+package node_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/platform/standin"
+)
+
+func TestRequestReachesTargetUnchanged(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	target := f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	r := f.call(f.nodes[0], http.MethodPost, "/get/a%2Fb?x=1&y=%20", "id-1", "the body")
+	is.Equal(r.status, http.StatusOK)
+	is.Equal(r.body, "answer to id-1")
+	is.Equal(r.header.Get("X-Upstream-Signature"), "id-1")
+	is.Equal(r.header.Get("X-Request-Id"), "id-1")
+	seen := target.Seen()
+	is.Equal(len(seen), 1)
+	is.Equal(seen[0].Method, http.MethodPost)
+	is.Equal(seen[0].Path, "/get/a%2Fb?x=1&y=%20")
+	is.Equal(seen[0].Host, "shop")
+	is.Equal(seen[0].Body, "the body")
+	is.True(seen[0].Deadline > 0 && seen[0].Deadline <= 1000) // the route's time, not the caller's
+}
+
+func TestRouting(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	n := f.nodes[0]
+	r := f.call(n, http.MethodGet, "/get/1", "early", "")
+	is.Equal(r.status, http.StatusServiceUnavailable) // no desired state yet
+	is.True(r.header.Get("Retry-After") != "")
+	is.Equal(f.status(n.readiness, "/api/ready"), http.StatusServiceUnavailable)
+
+	desk, clerk := f.target("i-1", "desk"), f.target("i-2", "clerk")
+	f.store.Configure(2, []string{"desk", "clerk"}, route("/", standin.Repeatable, "desk"), route("/deep/", standin.Repeatable, "clerk"))
+	f.ready(2, 2)
+	is.Equal(f.call(n, http.MethodGet, "/deep/x", "1", "").status, http.StatusOK)
+	is.Equal(f.call(n, http.MethodGet, "/deeper", "2", "").status, http.StatusOK)
+	is.Equal(ran("1", clerk), 1)
+	is.Equal(ran("2", desk), 1)
+	f.store.Configure(3, []string{"desk"}, route("/other/", standin.Repeatable, "desk"))
+	f.ready(3, 2)
+	is.Equal(f.call(n, http.MethodGet, "/deep/x", "3", "").status, http.StatusNotFound)
+}
+
+// TestRunOnce has the only target misbehave in each way, and looks at what the caller is told and
+// how often the request ran.
+func TestRunOnce(t *testing.T) {
+	f := newFleet(t, 1)
+	cases := []struct {
+		name   string
+		faults standin.TargetFaults
+		// status is what the caller gets, ran how often the request ran.
+		status, ran int
+	}{
+		{"sound", standin.TargetFaults{}, http.StatusOK, 1},
+		{"fails", standin.TargetFaults{Fail: 1}, http.StatusInternalServerError, 1},
+		{"sheds", standin.TargetFaults{Shed: 1}, http.StatusServiceUnavailable, 0},
+		{"runs it and resets", standin.TargetFaults{Lose: 1}, http.StatusBadGateway, 1},
+		{"hangs", standin.TargetFaults{Hang: 1}, http.StatusGatewayTimeout, 1},
+		{"cuts the answer", standin.TargetFaults{Cut: 1}, http.StatusBadGateway, 1},
+		{"answers rubbish", standin.TargetFaults{Garbage: 1}, http.StatusBadGateway, 1},
+		{"answers without a length", standin.TargetFaults{Unframed: 1}, http.StatusOK, 1},
+		{"answers twice", standin.TargetFaults{Extra: 1}, http.StatusOK, 1},
+	}
+	for i, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			service := fmt.Sprint("s", i)
+			target := f.target(fmt.Sprint("i-", i), service)
+			f.store.Configure(uint64(10+i), []string{service}, route("/once/", standin.RunOnce, service))
+			f.ready(10+i, i+1)
+			target.SetFaults(c.faults)
+			r := f.call(f.nodes[0], http.MethodPost, "/once/", "x", "pay")
+			is.Equal(r.status, c.status)
+			is.Equal(ran("x", target), c.ran)
+			if promise(r.status) {
+				is.Equal(ran("x", target), 0)
+			}
+			is.True(r.took < 1300*time.Millisecond) // the route's time and a little
+		})
+	}
+}
+
+// promise says whether the status tells a caller that its request has not run.
+func promise(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest ||
+		status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// TestRunOnceFindsAnotherTargetAfterAPromise has one target shed all, and one be replaced.
+func TestRunOnceFindsAnotherTargetAfterAPromise(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	sheds, replaced, good := f.target("i-1", "desk"), f.target("i-2", "desk"), f.target("i-3", "desk")
+	f.calm(3)
+	f.ready(3, 3)
+	sheds.SetFaults(standin.TargetFaults{Shed: 1})
+	replaced.Replace("i-9")
+	for i := range 12 {
+		id := fmt.Sprint("x", i)
+		r := f.call(f.nodes[0], http.MethodPost, "/once/", id, "pay")
+		is.Equal(r.status, http.StatusOK)
+		is.Equal(ran(id, sheds, replaced, good), 1)
+	}
+	arrivals := 0
+	for _, s := range replaced.Seen() {
+		if s.At.Before(time.Now()) {
+			arrivals++
+		}
+	}
+	is.True(arrivals <= 1) // it is not asked again
+}
+
+func TestRepeatableIsTriedElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	bad, good := f.target("i-1", "desk"), f.target("i-2", "desk")
+	f.calm(3)
+	f.ready(3, 2)
+	for _, faults := range []standin.TargetFaults{{Fail: 1}, {Lose: 1}, {Cut: 1}, {Garbage: 1}} {
+		bad.SetFaults(faults)
+		for i := range 5 {
+			r := f.call(f.nodes[0], http.MethodGet, "/get/", fmt.Sprint("x", i), "")
+			is.Equal(r.status, http.StatusOK)
+			is.Equal(r.body, fmt.Sprint("answer to x", i))
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	_ = good
+}
+
+// TestAnswersStayWithTheirRequests sends many requests at a time through targets whose answers come
+// twice, late, cut and as rubbish. Nobody gets another's answer, or a part of one as whole.
+func TestAnswersStayWithTheirRequests(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	targets := []*standin.Target{f.target("i-1", "desk"), f.target("i-2", "desk"), f.target("i-3", "desk")}
+	f.calm(3)
+	f.ready(3, 3)
+	for _, target := range targets {
+		target.SetFaults(standin.TargetFaults{Extra: 0.1, Late: 0.1, Cut: 0.05, Garbage: 0.05, Unframed: 0.05, Fail: 0.05, Lose: 0.05})
+	}
+	var mu sync.Mutex
+	served, crossed := 0, []string{}
+	var wg sync.WaitGroup
+	for w := range 8 {
+		wg.Go(func() {
+			for i := range 60 {
+				id := fmt.Sprintf("w%d-%d", w, i)
+				path, method := "/get/", http.MethodGet
+				if i%2 == 0 {
+					path, method = "/once/", http.MethodPost
+				}
+				r := f.call(f.nodes[0], method, path, id, "")
+				mu.Lock()
+				if r.status == http.StatusOK && !r.broken {
+					served++
+					if r.body != "answer to "+id || r.header.Get("X-Upstream-Signature") != id {
+						crossed = append(crossed, id+" got "+r.body)
+					}
+				}
+				if promise(r.status) && ran(id, targets...) > 0 {
+					crossed = append(crossed, id+" ran and was told that it had not")
+				}
+				if method == http.MethodPost && ran(id, targets...) > 1 {
+					crossed = append(crossed, id+" ran twice")
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(crossed, []string{})
+	is.True(served > 240)
+}
+
+// TestBudgetHoldsOverTheFleet has all targets of a service fail under load on all nodes.
+func TestBudgetHoldsOverTheFleet(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4)
+	targets := []*standin.Target{f.target("i-1", "desk"), f.target("i-2", "desk"), f.target("i-3", "desk"), f.target("i-4", "desk")}
+	f.calm(3)
+	f.ready(3, 4)
+	for _, target := range targets {
+		target.SetFaults(standin.TargetFaults{Fail: 0.8, Shed: 0.1})
+	}
+	const requests = 600
+	var wg sync.WaitGroup
+	for w := range 4 {
+		wg.Go(func() {
+			for i := range requests / 4 {
+				f.call(f.nodes[w], http.MethodGet, "/get/", fmt.Sprintf("w%d-%d", w, i), "")
+			}
+		})
+	}
+	wg.Wait()
+	arrivals := 0
+	for _, target := range targets {
+		arrivals += len(target.Seen())
+	}
+	more := arrivals - requests
+	t.Logf("%d further arrivals of %d requests", more, requests)
+	is.True(more <= requests/5+60) // the settings' ratio and slack
+	is.True(more > requests/10)    // and the budget is of use
+}
+
+// TestDeadlineIsPassedOn sends requests with little time left.
+func TestDeadlineIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	target := f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	r := f.callWithin(f.nodes[0], http.MethodGet, "/get/", "short", "", 300)
+	is.Equal(r.status, http.StatusOK)
+	is.True(target.Seen()[0].Deadline <= 300)
+	target.SetFaults(standin.TargetFaults{Hang: 1})
+	r = f.callWithin(f.nodes[0], http.MethodGet, "/get/", "late", "", 300)
+	is.Equal(r.status, http.StatusGatewayTimeout)
+	is.True(r.took < 450*time.Millisecond)
+}
+
+// TestCallerThatLeavesEndsItsRequest closes a caller's connection while a target works.
+func TestCallerThatLeavesEndsItsRequest(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	target := f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	target.SetFaults(standin.TargetFaults{Hang: 1})
+	c, err := net.Dial("tcp", f.nodes[0].callers)
+	is.NoErr(err)
+	_, err = fmt.Fprintf(c, "GET /get/ HTTP/1.1\r\nHost: shop\r\nX-Request-Id: gone\r\nX-Deadline-Ms: 3000\r\n\r\n")
+	is.NoErr(err)
+	f.eventually("the target has it", func() bool { return ran("gone", target) == 1 })
+	is.NoErr(c.Close())
+	f.eventually("the request has ended", func() bool {
+		return strings.Contains(f.nodes[0].log.String(), "the caller left") && strings.Contains(f.nodes[0].log.String(), "request=gone")
+	})
+}
+
+func TestLimitsOfTheDesiredState(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	target := f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	r := f.call(f.nodes[0], http.MethodPost, "/get/", "big", strings.Repeat("x", 1<<20+1))
+	is.Equal(r.status, http.StatusRequestEntityTooLarge)
+	is.Equal(ran("big", target), 0)
+	r = f.call(f.nodes[0], http.MethodPost, "/get/", "allowed", strings.Repeat("x", 1<<20))
+	is.Equal(r.status, http.StatusOK)
+	is.Equal(len(target.Seen()[0].Body), 1<<20)
+}
+
+// TestIdleTimeFollowsTheState lets a caller's connection rest under one bound, and another.
+func TestIdleTimeFollowsTheState(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	f.target("i-1", "desk")
+	idle := func(version int, time string) {
+		row := strings.Replace(string(standin.StateRow(uint64(version), []string{"desk"}, route("/get/", standin.Repeatable, "desk"))), `"15000ms"`, `"`+time+`"`, 1)
+		f.store.Put("op", "config", []byte(row))
+		f.ready(version, 1)
+	}
+	idle(3, "60s")
+	c, err := net.Dial("tcp", f.nodes[0].callers)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	idle(4, "200ms")
+	buf := make([]byte, 4096)
+	for range 2 {
+		_, err = fmt.Fprintf(c, "GET /get/ HTTP/1.1\r\nHost: shop\r\nX-Request-Id: x\r\nX-Deadline-Ms: 3000\r\n\r\n")
+		is.NoErr(err)
+		_, err = c.Read(buf)
+		is.NoErr(err)
+		time.Sleep(100 * time.Millisecond)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	start := time.Now()
+	_, err = c.Read(buf)
+	is.True(err != nil)
+	is.True(time.Since(start) < time.Second) // the node closed it
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -297,7 +297,7 @@
 	// InFlight is what all nodes were thought to have at the target, this request too, of Slots.
 	InFlight, Slots int
 	from            clock.Millis
-	done            bool
+	far, done       bool
 }
 
 func (p *Pool) lease(t *target, why Reason, now clock.Millis) *Lease {
@@ -305,7 +305,7 @@
 	t.used, t.usedAt = true, now
 	t.changed = true
 	return &Lease{
-		pool: p, target: t, Target: t.ID, Address: t.Address, Why: why, from: now,
+		pool: p, target: t, Target: t.ID, Address: t.Address, Why: why, from: now, far: !t.Near,
 		Failing:  t.belief.Failing(&p.tuning.Model, now),
 		InFlight: p.inFlight(t, now), Slots: t.Slots,
 	}
@@ -349,7 +349,7 @@
 	switch {
 	case evidence:
 		return Evidence
-	case !l.target.Near:
+	case l.far:
 		return LoadFar
 	}
 	return LoadNear
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,373 @@
+package pool_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/pool"
+	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+)
+
+// node is one node's pool, with what it told the others.
+type node struct {
+	*pool.Pool
+	clock *clock.Manual
+	name  ident.Process
+	peers []*node
+
+	mu     sync.Mutex
+	news   []pool.News
+	events []pool.Event
+}
+
+func newNode(c *clock.Manual, name string) *node {
+	n := &node{clock: c, name: ident.Process{Node: ident.Node(name), Incarnation: 1}}
+	b := pool.NewBudget(c, 0.2, 100, 10*clock.Second)
+	n.Pool = pool.New(pool.DefaultTuning, c, rand.New(rand.NewPCG(1, 2)), b, n.changed, n.tell)
+	return n
+}
+
+func (n *node) tell(e pool.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.events = append(n.events, e)
+}
+
+func (n *node) changed(w pool.News) {
+	n.mu.Lock()
+	n.news = append(n.news, w)
+	n.mu.Unlock()
+	if r := n.Report(false); r != nil {
+		for _, p := range n.peers {
+			p.Hear(n.name, r)
+		}
+	}
+}
+
+// targets returns near targets a, b, c ... of so many slots.
+func targets(count, slots int) []pool.Target {
+	var list []pool.Target
+	for i := range count {
+		id := string(rune('a' + i))
+		list = append(list, pool.Target{ID: ident.Target(id), Address: id, Slots: slots, Near: true, Ours: true})
+	}
+	return list
+}
+
+func (n *node) ask(repeatable bool) *pool.Ask {
+	now := n.clock.Now()
+	return &pool.Ask{Repeatable: repeatable, Again: repeatable, Began: now, Aim: 800, Deadline: now + 3000}
+}
+
+// take takes a lease, or fails the test.
+func (n *node) take(t *testing.T, a *pool.Ask) *pool.Lease {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	l, err := n.Acquire(ctx, a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func newLone(t *testing.T, count, slots int) *node {
+	t.Helper()
+	n := newNode(clock.NewManual(1000), "n1")
+	n.SetTargets(targets(count, slots))
+	return n
+}
+
+func TestFailureSendsWorkElsewhereAndIsNews(t *testing.T) {
+	is := is.New(t)
+	n := newLone(t, 2, 3)
+	l := n.take(t, n.ask(false))
+	bad := l.Target
+	l.Done(pool.Failed, false)
+	is.Equal(n.news[len(n.news)-1], pool.Evidence)
+	is.Equal(n.events[0].Kind, pool.TargetAvoided)
+	for range 20 {
+		l := n.take(t, n.ask(false))
+		is.True(l.Target != bad)
+		l.Done(pool.Good, false)
+		n.clock.Advance(10)
+	}
+}
+
+// TestNewsOfAFailureReachesOthers has one node see a failure, and another choose.
+func TestNewsOfAFailureReachesOthers(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(1000)
+	n1, n2 := newNode(c, "n1"), newNode(c, "n2")
+	n1.peers = []*node{n2}
+	n1.SetTargets(targets(2, 3))
+	n2.SetTargets(targets(2, 3))
+	l := n1.take(t, n1.ask(false))
+	l.Done(pool.Failed, false)
+	for range 10 {
+		other := n2.take(t, n2.ask(false))
+		is.True(other.Target != l.Target)
+		other.Done(pool.Good, false)
+	}
+	is.Equal(n2.events[0].By, ident.Node("n1"))
+}
+
+// TestNoConnectionBlamesTheLink keeps what one node cannot reach from the others' beliefs.
+func TestNoConnectionBlamesTheLink(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(1000)
+	n1, n2 := newNode(c, "n1"), newNode(c, "n2")
+	n1.peers = []*node{n2}
+	n1.SetTargets(targets(1, 3))
+	n2.SetTargets(targets(1, 3))
+	n1.take(t, n1.ask(false)).Done(pool.Unreachable, false)
+	_, err := n1.Acquire(context.Background(), n1.ask(false))
+	is.True(errors.Is(err, pool.ErrNoTarget))
+	is.Equal(n2.Status()[0].Condition, pool.InUse)
+	c.Advance(5000)
+	n1.take(t, n1.ask(false)).Done(pool.Good, false) // it is tried again
+	is.Equal(n1.Status()[0].Condition, pool.InUse)
+}
+
+func TestHealedTargetComesBack(t *testing.T) {
+	is := is.New(t)
+	n := newLone(t, 2, 3)
+	l := n.take(t, n.ask(true))
+	bad := l.Target
+	l.Done(pool.Failed, false)
+	tries, back := 0, clock.Millis(0)
+	for start := n.clock.Now(); back == 0 && n.clock.Now()-start < clock.Minute; n.clock.Advance(50) {
+		l := n.take(t, n.ask(true))
+		if l.Target == bad {
+			tries++
+			l.Done(pool.Good, false)
+			back = n.clock.Now() - start
+			continue
+		}
+		l.Done(pool.Good, false)
+	}
+	is.True(tries == 1)
+	is.True(back >= pool.DefaultTuning.ExploreIdle)
+	is.True(back < 3*clock.Second)
+}
+
+// TestWaitsForASoundTarget fills the only sound target: a request that runs once waits for it and
+// does not go to one that fails.
+func TestWaitsForASoundTarget(t *testing.T) {
+	is := is.New(t)
+	n := newLone(t, 2, 1)
+	l := n.take(t, n.ask(false))
+	l.Done(pool.Failed, false)
+	bad := l.Target
+	held := n.take(t, n.ask(false))
+	got := make(chan *pool.Lease)
+	go func() {
+		l, _ := n.Acquire(context.Background(), n.ask(false))
+		got <- l
+	}()
+	for n.Stats().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	held.Done(pool.Good, false)
+	l = <-got
+	is.True(l.Target != bad)
+}
+
+func TestRefusesWhatCannotEndInTime(t *testing.T) {
+	is := is.New(t)
+	n := newLone(t, 1, 1)
+	n.take(t, n.ask(false))
+	a := n.ask(false)
+	a.Deadline = n.clock.Now() + 100
+	_, err := n.Acquire(context.Background(), a)
+	var busy *pool.BusyError
+	is.True(errors.As(err, &busy))
+	is.True(busy.RetryAfter > 0)
+}
+
+func TestMoreUrgentGoesFirst(t *testing.T) {
+	is := is.New(t)
+	n := newLone(t, 1, 1)
+	held := n.take(t, n.ask(false))
+	order := make(chan uint32, 4)
+	for i, rank := range []uint32{2, 2, 0, 1} {
+		go func() {
+			a := n.ask(false)
+			a.Rank, a.Aim = rank, 60_000 // so that none is pressed into the target's own queue
+			a.Deadline = n.clock.Now() + 60_000
+			if l, err := n.Acquire(context.Background(), a); err == nil {
+				order <- rank
+				l.Done(pool.Good, false)
+			}
+		}()
+		for n.Stats().Waiting <= i {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	held.Done(pool.Good, false)
+	is.Equal([]uint32{<-order, <-order, <-order, <-order}, []uint32{0, 1, 2, 2})
+}
+
+func TestJoinedTargetIsTriedSoon(t *testing.T) {
+	is := is.New(t)
+	n := newLone(t, 2, 3)
+	list := targets(3, 3)
+	n.SetTargets(list)
+	joined := n.clock.Now()
+	for n.clock.Now()-joined < 4*clock.Second {
+		l := n.take(t, n.ask(false))
+		l.Done(pool.Good, false)
+		if l.Target == "c" {
+			is.True(n.clock.Now()-joined > pool.DefaultTuning.JoinWait)
+			return
+		}
+		n.clock.Advance(20)
+	}
+	t.Fatal("the new target was not tried")
+}
+
+func TestLeavingTargetsGetNoNewWork(t *testing.T) {
+	n := newLone(t, 3, 3)
+	list := targets(3, 3)
+	list[0].Leaving = true
+	n.SetTargets(list)
+	l := n.take(t, n.ask(false))
+	for l.Target != "b" { // b says itself that it is leaving
+		l.Done(pool.Good, false)
+		n.clock.Advance(2000)
+		l = n.take(t, n.ask(true))
+	}
+	l.Done(pool.Replaced, false)
+	for range 50 {
+		l := n.take(t, n.ask(true))
+		if l.Target != "c" {
+			t.Fatalf("%s got work", l.Target)
+		}
+		l.Done(pool.Good, false)
+		n.clock.Advance(500)
+	}
+}
+
+// TestClosingConnections takes a target for leaving that closes its connections again and again, and
+// not one that does so now and then.
+func TestClosingConnections(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		closings []bool
+		leaves   bool
+	}{
+		{[]bool{true, false, true, false, true, false}, false},
+		{[]bool{true, true, false}, false},
+		{[]bool{true, true, true}, true},
+	} {
+		n := newLone(t, 1, 3)
+		for _, closing := range c.closings {
+			n.take(t, n.ask(false)).Done(pool.Good, closing)
+		}
+		is.Equal(n.Status()[0].Condition == pool.Leaving, c.leaves)
+	}
+}
+
+// TestSpreadsWhileTheServiceIsInTrouble has a fifth of all requests fail by chance: all targets must
+// get work within two seconds.
+func TestSpreadsWhileTheServiceIsInTrouble(t *testing.T) {
+	is := is.New(t)
+	n := newLone(t, 10, 3)
+	last := map[ident.Target]clock.Millis{}
+	start := n.clock.Now()
+	for i := 0; n.clock.Now()-start < 6*clock.Second; i++ {
+		l := n.take(t, n.ask(false))
+		last[l.Target] = n.clock.Now()
+		l.Done(pool.Good, false)
+		n.Ended(i%5 > 0)
+		n.clock.Advance(20)
+	}
+	used := 0
+	for _, at := range last {
+		if n.clock.Now()-at < 2*clock.Second {
+			used++
+		}
+	}
+	is.True(used >= 8)
+}
+
+// TestPeersLoadCounts has another node fill a target; this one goes elsewhere until the other was
+// silent for long.
+func TestPeersLoadCounts(t *testing.T) {
+	is := is.New(t)
+	n := newLone(t, 2, 2)
+	full := &tlv1.Report{Seen: []*tlv1.Seen{{Target: "a", InFlight: 2, OkMs: 1, FailedMs: -1}, {Target: "b", OkMs: 1, FailedMs: -1}}}
+	n.Hear(ident.Process{Node: "n2", Incarnation: 1}, full)
+	for range 2 {
+		is.Equal(n.take(t, n.ask(false)).Target, ident.Target("b"))
+	}
+	n.clock.Advance(pool.DefaultTuning.PeerAge + 1)
+	is.Equal(n.take(t, n.ask(false)).Target, ident.Target("a"))
+}
+
+// TestLongRequestsAreToldAgain keeps a load that does not change from being forgotten.
+func TestLongRequestsAreToldAgain(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(1000)
+	n1, n2 := newNode(c, "n1"), newNode(c, "n2")
+	n1.peers = []*node{n2}
+	n1.SetTargets(targets(1, 2))
+	n2.SetTargets(targets(1, 2))
+	n1.take(t, n1.ask(false))
+	for range 10 {
+		c.Advance(pool.DefaultTuning.PeerAge / 2)
+		if r := n1.Report(false); r != nil {
+			n2.Hear(n1.name, r)
+		}
+		is.Equal(n2.Status()[0].InFlight, 1)
+	}
+}
+
+// TestNewcomerTakesOver brings all that one node knows to one that has just started.
+func TestNewcomerTakesOver(t *testing.T) {
+	is := is.New(t)
+	n1 := newLone(t, 2, 3)
+	l := n1.take(t, n1.ask(false))
+	l.Done(pool.Failed, false)
+	n2 := newNode(n1.clock, "n2")
+	n2.SetTargets(targets(2, 3))
+	n2.Hear(n1.name, n1.Report(true))
+	for range 5 {
+		other := n2.take(t, n2.ask(false))
+		is.True(other.Target != l.Target)
+		other.Done(pool.Good, false)
+	}
+}
+
+func TestBudgetHoldsInAnyWindow(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(1000)
+	b := pool.NewBudget(c, 0.2, 3, 10*clock.Second)
+	allowed := 0
+	for range 10 {
+		if b.More() {
+			allowed++
+		}
+	}
+	is.Equal(allowed, 3)
+	for range 50 {
+		b.First()
+	}
+	for range 20 {
+		if b.More() {
+			allowed++
+		}
+	}
+	is.Equal(allowed, 13)
+	c.Advance(10*clock.Second + 1)
+	is.True(b.More())
+	is.True(fmt.Sprint(b.Left()) == "2")
+}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -140,20 +139,6 @@
 	control  *http.Client
 }
 
-// ports returns free ports of loopback.
-func ports(t *testing.T, n int) []string {
-	list := make([]string, n)
-	for i := range list {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = l.Close() }()
-		list[i] = l.Addr().String()
-	}
-	return list
-}
-
 // newFleet starts everything and configures service tuul/desk. With relays, what others send
 // each node goes through a relay that can be cut.
 func newFleet(t *testing.T, nodes, targets int, relays bool) *fleet {
@@ -163,7 +148,7 @@
 // newFleetOf does so with targets of so many slots that take so long.
 func newFleetOf(t *testing.T, nodes, targets int, relays bool, slots int, takes string) *fleet {
 	f := &fleet{t: t, slots: slots, dir: t.TempDir(), control: &http.Client{Timeout: 5 * time.Second}}
-	free := ports(t, 1+targets+4*nodes)
+	free := emulate.Addresses(1 + targets + 4*nodes)
 	f.platform, f.targets, free = free[0], free[1:1+targets], free[1+targets:]
 	run(t, f.dir+"/platform.log", "tinladder-platform", "serve", "--listen", f.platform)
 	args := append([]string{"tinladder-bench", "target", "--slots", fmt.Sprint(slots), "--takes", takes, "--listen"}, f.targets...)
