--- a/node/records.go
+++ b/node/records.go
@@ -93,6 +93,7 @@
 			continue
 		}
 		if old := r.table.Load(); old != nil && desired.Version(s.GetVersion()) <= old.Version {
+			n.log.WithFields(logrus.Fields{"event": "state_ignored", "from": from, "version": s.GetVersion(), "in_force": old.Version}).Warn()
 			continue
 		}
 		t, err := desired.Compile(s)
--- a/node/records_test.go
+++ b/node/records_test.go
@@ -93,6 +93,9 @@
 	f.calm(5)
 	f.ready(5, 1)
 	f.store.Configure(4, []string{"desk"}, route("/old/", standin.Repeatable, "desk"))
+	f.eventually("the older one was seen", func() bool {
+		return strings.Contains(f.nodes[0].log.String(), "event=state_ignored") || inForce(f.nodes[0], 4)
+	})
 	f.store.Put("op", "config", []byte(`{"version":"r9","routes":[`))
 	f.store.Configure(10, []string{"desk"}, route("/bad/", standin.Repeatable, "none"))
 	f.eventually("the bad state was seen", func() bool { return strings.Contains(f.nodes[0].log.String(), "event=state_refused") })
