Log in the background with causes; explain a request and report failures from the logs

Cause: on-call engineers have only logs and metrics. Lines were written by the request itself, so that a reader that stopped held requests up; a failure's line did not say by what evidence its target was chosen, how long it waited or what the budget had left; nothing put the lines of several nodes together. Ruled out: a line for each success (3 to 5 times the lines, nothing to learn from them).

--- a/cmd/tinladderctl/control.go
+++ b/cmd/tinladderctl/control.go
@@ -50,6 +50,10 @@
 		return c.inForce(ctx, args.InForce)
 	case args.Status != nil:
 		return c.status(ctx)
+	case args.Explain != nil:
+		return explain(c.out, args.Explain)
+	case args.Report != nil && len(args.Report.Logs) > 0:
+		return reportLogs(c.out, args.Report)
 	case args.Report != nil:
 		return c.report(ctx, args.Report)
 	case args.Resolve != nil:
--- a/cmd/tinladderctl/main.go
+++ b/cmd/tinladderctl/main.go
@@ -48,6 +48,12 @@
 type reportCmd struct {
 	Workspace string        `arg:"positional" help:"all workspaces, for administrators, if left out"`
 	Since     time.Duration `arg:"--since" default:"12h"`
+	Logs      []string      `arg:"--logs" help:"the nodes' logs, to say it from them and not ask a node; - is standard input"`
+}
+
+type explainCmd struct {
+	Request string   `arg:"positional,required" help:"the request's id, as its caller sent it"`
+	Logs    []string `arg:"positional" help:"the nodes' logs; standard input if there is none"`
 }
 
 type resolveCmd struct {
@@ -74,6 +80,7 @@
 	InForce *nameCmd    `arg:"subcommand:in-force" help:"show which version each node uses"`
 	Status  *emptyCmd   `arg:"subcommand:status" help:"show a node, its peers and its services' targets"`
 	Report  *reportCmd  `arg:"subcommand:report" help:"show what failed"`
+	Explain *explainCmd `arg:"subcommand:explain" help:"say from the nodes' logs what became of a request"`
 	Resolve *resolveCmd `arg:"subcommand:resolve" help:"settle a change whose fate is not known"`
 	Leave   *emptyCmd   `arg:"subcommand:leave" help:"make the node leave the fleet"`
 	NewTok  *tokenCmd   `arg:"subcommand:token" help:"make a token and show its hash"`
@@ -91,9 +98,11 @@
   tinladderctl apply services.toml --dry-run
   tinladderctl drain tuul/refunds r3
   tinladderctl report tuul --since 12h
+  tinladderctl report --logs node1.log node2.log
+  tinladderctl explain 9c41d07be2a35f68 node1.log node2.log
 
 Exit codes: 0 done, 1 error, 2 wrong usage, 3 another operator was faster,
-4 no such workspace or service, 5 the platform or the node is away,
+4 no such workspace, service or request, 5 the platform or the node is away,
 6 not known whether the change was made (see resolve).`
 }
 
@@ -116,6 +125,9 @@
 }
 
 func exitCode(err error) int {
+	if errors.Is(err, errNoLine) {
+		return exitAbsent
+	}
 	var rpc *connect.Error
 	if !errors.As(err, &rpc) {
 		return exitError
--- /dev/null
+++ b/node/account.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/forward"
+	"github.com/tinladder/tinladder/pool"
+)
+
+// A cause names why a request was not served, in logs and metrics.
+type cause string
+
+// Causes, of requests for services.
+const (
+	// causeTargetFailed requests got a failure as the target's answer.
+	causeTargetFailed cause = "target_failed"
+	// causeNoAnswer requests may have run: the target took them and gave no answer that counts.
+	causeNoAnswer cause = "no_answer"
+	// causeDeadline requests ran out of time at a target.
+	causeDeadline cause = "deadline"
+	// causeCut answers ended early, or their caller did not read them.
+	causeCut cause = "answer_cut"
+	// causeQueue requests were refused, since their time would have passed before a slot came free.
+	causeQueue cause = "queue"
+	// causeNoTarget requests were refused, since no target could be reached or may take work.
+	causeNoTarget cause = "no_target"
+	// causeShed requests were turned away by all targets that they were sent to.
+	causeShed cause = "shed"
+	// causeCallerLeft requests lost their caller.
+	causeCallerLeft cause = "caller_left"
+)
+
+// tellAttempt tells of an attempt that did not end well, and of what it was decided by.
+func (x *exchange) tellAttempt(l *pool.Lease, o pool.Outcome, a *forward.Answer, err error, took clock.Millis) {
+	f := logrus.Fields{
+		"event": "attempt_failed", "request": x.id, "service": x.service.name, "target": l.Target, "address": l.Address,
+		"outcome": o, "ms": took, "why": l.Why, "failing": fmt.Sprintf("%.2f", l.Failing), "known_ms": l.KnownAge,
+		"load": fmt.Sprintf("%d/%d", l.InFlight, l.Slots), "waited_ms": x.waited, "left_ms": x.deadline - x.node.clock.Now(),
+	}
+	if a != nil {
+		f["status"], f["reused"] = a.Status, a.Reused
+	}
+	if err != nil {
+		f["error"] = err
+	}
+	if l.Next != "" {
+		f["next"], f["next_failing"] = l.Next, fmt.Sprintf("%.2f", l.NextFailing)
+	}
+	x.node.log.WithFields(f).Warn()
+}
+
+// ended notes how the request ended; status 0 says that nobody was answered, and no cause that it was
+// served.
+func (x *exchange) ended(status int, c cause, reason string) {
+	n := x.node
+	now := n.clock.Now()
+	took := now - x.began
+	x.service.pool.Ended(c == "" || status == 0)
+	n.metrics.ended(x.route.Repeatable, status, c, took)
+	if c == "" {
+		x.tellServed(status, took, now)
+		return
+	}
+	x.service.tally.failed(now, took)
+	n.log.WithFields(logrus.Fields{
+		"event": "request_failed", "request": x.id, "route": x.route.Name, "kind": kindOf(x.route.Repeatable),
+		"service": x.service.name, "status": status, "cause": c, "reason": reason, "targets": x.triedNames(),
+		"ran": x.ran, "ms": took, "waited_ms": x.waited, "retry_after_ms": x.retryAfter, "deadline_ms": x.deadline - x.began,
+		"budget_left": fmt.Sprintf("%.1f", x.service.pool.Budget().Left()), "version": n.stateVersion(),
+	}).Warn()
+}
+
+// tellServed tells of one served request a second of each service, and of those that took more than
+// one attempt.
+func (x *exchange) tellServed(status int, took, now clock.Millis) {
+	sampled := x.service.tally.served(now, took)
+	if !sampled && len(x.tried) < 2 {
+		return
+	}
+	x.node.log.WithFields(logrus.Fields{
+		"event": "request_served", "request": x.id, "route": x.route.Name, "service": x.service.name, "status": status,
+		"targets": x.triedNames(), "ms": took, "waited_ms": x.waited, "version": x.node.stateVersion(),
+	}).Info()
+}
+
+func (x *exchange) triedNames() string {
+	names := make([]string, len(x.tried))
+	for i, t := range x.tried {
+		names[i] = string(t)
+	}
+	return strings.Join(names, ",")
+}
+
+// A tally sums the requests of one service for the log.
+type tally struct {
+	mu        sync.Mutex
+	sampledAt clock.Millis
+	// sum began at the time.
+	began       clock.Millis
+	ok, bad     int
+	total, most clock.Millis
+}
+
+const (
+	// sampleEvery is the least time between two served requests of a service in the log.
+	sampleEvery = 1 * clock.Second
+	// sumEvery is how often the requests of a service are summed in the log, if there were any.
+	sumEvery = 10 * clock.Second
+)
+
+// served counts a request, and says whether it is one for the log.
+func (t *tally) served(now, took clock.Millis) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ok++
+	t.add(now, took)
+	if now-t.sampledAt < sampleEvery {
+		return false
+	}
+	t.sampledAt = now
+	return true
+}
+
+func (t *tally) failed(now, took clock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.bad++
+	t.add(now, took)
+}
+
+func (t *tally) add(now, took clock.Millis) {
+	if t.began == 0 {
+		t.began = now
+	}
+	t.total += took
+	t.most = max(t.most, took)
+}
+
+// sum returns what was counted as a log line has it, and begins anew, if it is time to.
+func (t *tally) sum(now clock.Millis) logrus.Fields {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.began == 0 || now-t.began < sumEvery {
+		return nil
+	}
+	f := logrus.Fields{
+		"event": "requests", "served": t.ok, "failed": t.bad, "for_ms": now - t.began,
+		"mean_ms": t.total / clock.Millis(t.ok+t.bad), "most_ms": t.most,
+	}
+	t.began, t.ok, t.bad, t.total, t.most = 0, 0, 0, 0, 0
+	return f
+}
--- a/node/duty.go
+++ b/node/duty.go
@@ -208,7 +208,7 @@
 	d.mu.Unlock()
 	if regained {
 		d.node.metrics.storeAway(false)
-		d.node.log.WithFields(logrus.Fields{"event": "store_regained", "kind": k}).Info()
+		d.node.log.WithFields(logrus.Fields{"event": "store_regained", "kind": k}).Warn()
 	}
 	d.confirm(false)
 }
@@ -220,6 +220,7 @@
 	d.failed = true
 	d.deafAt[d.node.self] = d.node.clock.Now()
 	d.mu.Unlock()
+	d.node.metrics.storeFailed(k)
 	if first {
 		d.node.metrics.storeAway(true)
 		d.node.log.WithFields(logrus.Fields{"event": "store_lost", "kind": k, "error": err}).Warn()
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -13,10 +13,10 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/emulate"
+	"github.com/tinladder/tinladder/logs"
 	"github.com/tinladder/tinladder/node"
 	"github.com/tinladder/tinladder/platform/standin"
 	"github.com/tinladder/tinladder/settings"
@@ -131,9 +131,10 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	log := logrus.New()
-	log.SetOutput(n.log)
-	log.SetLevel(logrus.DebugLevel)
+	log, err := logs.New(n.log, "debug")
+	if err != nil {
+		f.t.Fatal(err)
+	}
 	p := tinladder.On(s.Store.Address, f.clock, log)
 	if n.node, err = node.New(s, n.path, p, f.clock, log); err != nil {
 		f.t.Fatal(err)
--- a/node/front.go
+++ b/node/front.go
@@ -65,8 +65,8 @@
 	n.metrics.refused(p.Status)
 	n.log.WithFields(logrus.Fields{
 		"event": "request_refused", "request": id, "host": r.Host, "path": r.URL.Path,
-		"status": p.Status, "reason": p.Detail, "version": n.stateVersion(),
-	}).Info()
+		"status": p.Status, "reason": p.Detail, "retry_after_ms": p.RetryAfter, "version": n.stateVersion(),
+	}).Warn()
 }
 
 func (n *Node) stateVersion() uint64 {
--- a/node/leave.go
+++ b/node/leave.go
@@ -60,7 +60,7 @@
 func (l *leaving) run() {
 	n := l.node
 	grace := n.settings().Bounds.Grace.Millis()
-	n.log.WithFields(logrus.Fields{"event": "leaving", "node": n.self.Node, "grace_ms": grace}).Info()
+	n.log.WithFields(logrus.Fields{"event": "leaving", "node": n.self.Node, "grace_ms": grace, "in_flight": l.busy.Load()}).Warn()
 	l.begun.Store(true)
 	n.members.Leave()
 	n.duty.announce()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -8,32 +8,69 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/logs"
 	"github.com/tinladder/tinladder/pool"
 	"github.com/tinladder/tinladder/store"
 )
 
-// nodeMetrics are what the node counts, in a set of its own.
+// nodeMetrics are what the node counts, in a set of its own. Labels are of bounded sets only: kinds
+// of requests, outcomes, causes, statuses; never names of services, routes or targets.
 type nodeMetrics struct {
+	clock   clock.Clock
 	set     *metrics.Set
-	took    *metrics.Histogram
-	wireOut *metrics.Counter
+	sent    *metrics.Counter
+	heard   *metrics.Counter
+	retries *metrics.Counter
+	denied  *metrics.Counter
 	away    *metrics.Counter
 	version *metrics.Counter
+	// stateAt is when the desired state that is in force came.
+	stateAt *metrics.Counter
 }
 
-func newMetrics() *nodeMetrics {
+func newMetrics(c clock.Clock) *nodeMetrics {
 	set := metrics.NewSet()
 	return &nodeMetrics{
+		clock:   c,
 		set:     set,
-		took:    set.NewHistogram("tinladder_request_seconds"),
-		wireOut: set.NewCounter("tinladder_datagram_sent_bytes_total"),
+		sent:    set.NewCounter("tinladder_datagram_sent_bytes_total"),
+		heard:   set.NewCounter("tinladder_datagram_received_total"),
+		retries: set.NewCounter("tinladder_retries_total"),
+		denied:  set.NewCounter("tinladder_retries_denied_total"),
 		away:    set.NewCounter("tinladder_store_away"),
 		version: set.NewCounter("tinladder_state_version"),
+		stateAt: set.NewCounter("tinladder_state_since_ms"),
 	}
 }
 
+// gauges adds what is looked at when the metrics are read.
+func (m *nodeMetrics) gauges(n *Node) {
+	sum := func(of func(s pool.Stats) int) func() float64 {
+		return func() float64 {
+			total := 0
+			for _, svc := range n.services.all() {
+				total += of(svc.pool.Stats())
+			}
+			return float64(total)
+		}
+	}
+	m.set.NewGauge("tinladder_queue_waiting", sum(func(s pool.Stats) int { return s.Waiting }))
+	m.set.NewGauge("tinladder_requests_in_flight", sum(func(s pool.Stats) int { return s.InFlight }))
+	m.set.NewGauge("tinladder_targets", sum(func(s pool.Stats) int { return s.Targets }))
+	m.set.NewGauge("tinladder_targets_usable", sum(func(s pool.Stats) int { return s.Usable }))
+	m.set.NewGauge("tinladder_members", func() float64 { return float64(len(n.members.Live())) })
+	m.set.NewGauge("tinladder_log_lines_dropped", func() float64 { return float64(n.log.Dropped()) })
+	m.set.NewGauge("tinladder_log_written_bytes", func() float64 { return float64(n.log.Written()) })
+	m.set.NewGauge("tinladder_state_age_seconds", func() float64 {
+		if m.stateAt.Get() == 0 {
+			return 0
+		}
+		return (m.clock.Now() - clock.Millis(m.stateAt.Get())).Duration().Seconds()
+	})
+}
+
 func (m *nodeMetrics) controlBytes(n int) {
-	m.wireOut.Add(n)
+	m.sent.Add(n)
 }
 
 func (m *nodeMetrics) storeAway(away bool) {
@@ -46,27 +83,55 @@
 
 func (m *nodeMetrics) stateVersion(v uint64) {
 	m.version.Set(v)
+	m.stateAt.Set(uint64(m.clock.Now()))
 }
 
 func (m *nodeMetrics) storeCall(k store.Kind, follow bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_store_calls_total{kind=%q,follow="%v"}`, k, follow)).Inc()
 }
 
-func (m *nodeMetrics) attempt(o pool.Outcome) {
+func (m *nodeMetrics) storeFailed(k store.Kind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_store_calls_failed_total{kind=%q}`, k)).Inc()
+}
+
+func (m *nodeMetrics) attempt(o pool.Outcome, took clock.Millis) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_attempts_total{outcome=%q}`, o)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`tinladder_attempt_seconds{outcome=%q}`, o)).Update(took.Duration().Seconds())
 }
 
 func (m *nodeMetrics) belief(k pool.EventKind) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_beliefs_total{event=%q}`, k)).Inc()
 }
 
+// again counts further attempts, made and denied by the budget.
+func (m *nodeMetrics) again(allowed bool) {
+	if allowed {
+		m.retries.Inc()
+	} else {
+		m.denied.Inc()
+	}
+}
+
+// refused counts requests that lead nowhere.
 func (m *nodeMetrics) refused(status int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_refused_total{status="%d"}`, status)).Inc()
 }
 
-func (m *nodeMetrics) ended(status int, took clock.Millis) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_requests_total{status="%d"}`, status)).Inc()
-	m.took.Update(took.Duration().Seconds())
+// ended counts requests for services by kind and status, and those that were not served by cause.
+func (m *nodeMetrics) ended(repeatable bool, status int, c cause, took clock.Millis) {
+	kind := kindOf(repeatable)
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_requests_total{kind=%q,status="%d"}`, kind, status)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`tinladder_request_seconds{kind=%q}`, kind)).Update(took.Duration().Seconds())
+	if c != "" {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_requests_failed_total{cause=%q}`, c)).Inc()
+	}
+}
+
+func kindOf(repeatable bool) string {
+	if repeatable {
+		return "repeatable"
+	}
+	return "once"
 }
 
 func (m *nodeMetrics) write(w http.ResponseWriter, _ *http.Request) {
@@ -75,6 +140,6 @@
 }
 
 // quietLog takes the HTTP server's own messages, such as those of broken connections.
-func quietLog(l *logrus.Logger) *stdlog.Logger {
+func quietLog(l *logs.Log) *stdlog.Logger {
 	return stdlog.New(l.WithField("event", "http_server").WriterLevel(logrus.DebugLevel), "", 0)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/tinladder/tinladder/config"
 	"github.com/tinladder/tinladder/forward"
 	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/logs"
 	"github.com/tinladder/tinladder/member"
 	"github.com/tinladder/tinladder/once"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
@@ -56,7 +57,7 @@
 	config   atomic.Pointer[settings.Settings]
 	path     string
 	clock    clock.Clock
-	log      *logrus.Logger
+	log      *logs.Log
 	platform Platform
 	self     ident.Process
 	keys     *keyring
@@ -76,6 +77,7 @@
 	writer   config.Writer
 	events   *eventLog
 	leaving  *leaving
+	watch    *memberWatch
 
 	servers   []*http.Server
 	listeners []net.Listener
@@ -84,13 +86,13 @@
 
 // New returns a node that listens at its addresses, and serves nobody yet. It reads the settings
 // again from the path when they change.
-func New(s *settings.Settings, path string, p Platform, c clock.Clock, log *logrus.Logger) (n *Node, err error) {
+func New(s *settings.Settings, path string, p Platform, c clock.Clock, log *logs.Log) (n *Node, err error) {
 	defer func() { err = errors.Wrap(err, "new node") }()
 	n = &Node{
 		path: path, clock: c, log: log, platform: p,
 		self:    ident.Process{Node: ident.Node(s.Node.Name), Incarnation: ident.Incarnation(c.Now())},
 		keys:    newKeyring(s.Fleet.KeyBytes()),
-		metrics: newMetrics(),
+		metrics: newMetrics(c),
 		conns:   forward.NewConns(c, dialTimeout),
 		limiter: newLimiter(s.Limits.Requests),
 		configs: config.NewLog(p.Table),
@@ -120,6 +122,8 @@
 	n.events = newEventLog(n.self, n.platform.Objects, n.clock)
 	n.events.wanted = s.Node.Operators != ""
 	n.leaving = newLeaving(n)
+	n.watch = newMemberWatch(n)
+	n.metrics.gauges(n)
 }
 
 // weightOf returns how many targets' slots the node can carry.
@@ -201,7 +205,7 @@
 	defer cancel()
 	parts := n.startParts(background)
 	n.sendGossip(n.members.Join())
-	n.log.WithFields(logrus.Fields{"event": "started", "node": n.self.Node, "process": n.self, "hall": n.hall()}).Info()
+	n.tellStart()
 	select {
 	case <-ctx.Done():
 	case <-n.leaving.asked:
@@ -216,7 +220,8 @@
 	for _, p := range parts {
 		p.end()
 	}
-	n.log.WithFields(logrus.Fields{"event": "stopped", "node": n.self.Node}).Info()
+	n.log.WithFields(logrus.Fields{"event": "stopped", "node": n.self.Node, "error": err}).Warn()
+	n.log.Close()
 	return errors.Wrap(err, "serve")
 }
 
@@ -262,6 +267,7 @@
 	n.peers.tick()
 	n.duty.tick()
 	n.services.tick()
+	n.watch.tick()
 	n.events.setNodes(len(n.members.Live()) + 1)
 }
 
--- /dev/null
+++ b/node/outgoing.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/forward"
+	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/pool"
+)
+
+const (
+	// smallBody is the largest body of a request that is kept, so that it can be sent again.
+	smallBody = 64 << 10
+	// sendMargin is how much sooner than a caller's time is over a target is told to end.
+	sendMargin clock.Millis = 5
+	// callerGrace is how much longer than a request's deadline a caller may take to send it or to
+	// read its answer.
+	callerGrace clock.Millis = 500
+	// restRepeatable and restOnce are how long a connection may have rested for a request. A
+	// target may have forgotten one that rested long, and a run-once request would be lost on it.
+	restRepeatable = 30 * clock.Second
+	restOnce       = 5 * clock.Second
+)
+
+// limitCaller bounds how long a caller may take to send its request and to read its answer, so that
+// a slow one cannot hold a target's slot. The bounds hold until the connection's next request.
+func (x *exchange) limitCaller() {
+	rc := http.NewResponseController(x.w)
+	end := time.Now().Add((x.deadline - x.began + callerGrace).Duration())
+	_ = rc.SetReadDeadline(end) // not every kind of connection has deadlines
+	_ = rc.SetWriteDeadline(end)
+}
+
+// readBody reads a small body whole; a large one is streamed, once.
+func (x *exchange) readBody() (err error) {
+	if x.r.ContentLength == 0 {
+		return nil
+	}
+	if x.r.ContentLength > smallBody {
+		x.stream = x.r.Body
+		return nil
+	}
+	x.body, err = io.ReadAll(io.LimitReader(x.r.Body, smallBody+1))
+	if err == nil && len(x.body) > smallBody {
+		x.stream = io.MultiReader(bytes.NewReader(x.body), x.r.Body)
+		x.body = nil
+	}
+	return err
+}
+
+// badBody tells of a body that could not be read.
+func (x *exchange) badBody(err error) {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		x.node.refuse(x.w, x.r, Problem{Status: http.StatusRequestEntityTooLarge, Detail: "the body is too large"})
+		return
+	}
+	x.ended(0, causeCallerLeft, "the caller broke off: "+err.Error())
+	panic(http.ErrAbortHandler)
+}
+
+func (x *exchange) outgoing(l *pool.Lease) *forward.Request {
+	h := x.r.Header.Clone()
+	forward.DropHopByHop(h)
+	for _, name := range nodesOnly {
+		h.Del(name)
+	}
+	h.Set(x.headers.RequestID, x.id)
+	h.Set(x.headers.Deadline, strconv.FormatInt(int64(max(x.deadline-x.node.clock.Now()-sendMargin, 1)), 10))
+	if x.headers.Instance != "" {
+		h.Set(x.headers.Instance, string(l.Target))
+	}
+	if _, found := h["User-Agent"]; !found {
+		h["User-Agent"] = nil // keep the library from adding its own
+	}
+	if x.headers.Forwarded {
+		setForwarded(h, x.r)
+	}
+	r := x.request(h)
+	if !x.route.Repeatable {
+		r.MaxIdle = restOnce
+	}
+	return r
+}
+
+func (x *exchange) request(h http.Header) *forward.Request {
+	return &forward.Request{
+		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h,
+		Body: x.body, Stream: x.stream, Length: x.r.ContentLength,
+		ID: x.id, IDHeader: x.headers.RequestID, IDOptional: x.headers.IDOptional, MaxIdle: restRepeatable,
+	}
+}
+
+// setForwarded says who asked. Nothing stands before the fleet, so what callers say of it
+// themselves is not passed on.
+func setForwarded(h http.Header, r *http.Request) {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return
+	}
+	from := host
+	if strings.Contains(host, ":") {
+		from = `"[` + host + `]"`
+	}
+	h.Set("X-Forwarded-For", host)
+	h.Set("X-Forwarded-Host", r.Host)
+	h.Set("X-Forwarded-Proto", "http")
+	h.Set("Forwarded", fmt.Sprintf("for=%s;host=%q;proto=http", from, r.Host))
+}
+
+// idValid says whether an id can stand in logs and headers as it is.
+func idValid(id string) bool {
+	return id != "" && len(id) <= 4*ident.MaxName && !strings.ContainsAny(id, " \t\"=")
+}
--- a/node/records.go
+++ b/node/records.go
@@ -72,9 +72,7 @@
 		r.book.Store(newBook(r.sets[k].Live()))
 		r.node.log.WithFields(logrus.Fields{"event": "documents_in_force", "from": from, "new": len(news)}).Info()
 	case store.Targets:
-		for _, x := range news {
-			r.tellTarget(x, from)
-		}
+		r.tellTargets(news, from)
 	}
 	r.node.services.refresh()
 	if k != store.Targets && from != fromStore {
@@ -105,7 +103,7 @@
 			close(r.first)
 		}
 		n.metrics.stateVersion(uint64(t.Version))
-		n.log.WithFields(logrus.Fields{"event": "state_in_force", "version": t.Version, "from": from, "routes": len(t.Routes())}).Info()
+		n.log.WithFields(logrus.Fields{"event": "state_in_force", "version": t.Version, "from": from, "routes": len(t.Routes())}).Warn()
 	}
 }
 
@@ -128,6 +126,24 @@
 	return r.table.Load()
 }
 
+// detailed is the most target records at once that are told of one by one.
+const detailed = 16
+
+// tellTargets tells the log of targets that came, changed or went.
+func (r *records) tellTargets(news []replica.Record, from string) {
+	if len(news) > detailed {
+		var newest uint64
+		for _, x := range news {
+			newest = max(newest, x.Version)
+		}
+		r.node.log.WithFields(logrus.Fields{"event": "target_records", "count": len(news), "newest": newest, "from": from}).Info()
+		return
+	}
+	for _, x := range news {
+		r.tellTarget(x, from)
+	}
+}
+
 func (r *records) tellTarget(x replica.Record, from string) {
 	f := logrus.Fields{"event": "target_record", "target": x.Key, "gone": x.Gone, "version": x.Version, "from": from}
 	if t := registered(x); t != nil {
--- a/node/reload.go
+++ b/node/reload.go
@@ -79,5 +79,5 @@
 	if level, err := logrus.ParseLevel(next.Log.Level); err == nil {
 		n.log.SetLevel(level)
 	}
-	n.log.WithFields(logrus.Fields{"event": "settings_reloaded", "why": why}).Info()
+	n.log.WithFields(logrus.Fields{"event": "settings_reloaded", "why": why}).Warn()
 }
--- a/node/services.go
+++ b/node/services.go
@@ -33,8 +33,9 @@
 
 // A service is what this node knows of one service's targets.
 type service struct {
-	name string
-	pool *pool.Pool
+	name  string
+	pool  *pool.Pool
+	tally tally
 
 	mu     sync.Mutex
 	nearAt clock.Millis
@@ -269,6 +270,7 @@
 	s.members = v
 	s.mu.Unlock()
 	s.refreshLoad()
+	s.tellSums()
 	if !changed {
 		return
 	}
@@ -279,6 +281,18 @@
 	}
 }
 
+// tellSums tells the log of the requests of each service now and then.
+func (s *services) tellSums() {
+	now := s.node.clock.Now()
+	for _, svc := range s.all() {
+		if f := svc.tally.sum(now); f != nil {
+			st := svc.pool.Stats()
+			f["service"], f["waiting"], f["targets"], f["usable"] = svc.name, st.Waiting, st.Targets, st.Usable
+			s.node.log.WithFields(f).Info()
+		}
+	}
+}
+
 // welcome tells nodes that have come to carry a service all that this one knows of it, if it carries
 // the service too.
 func (s *services) welcome() {
--- /dev/null
+++ b/node/watch.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+	"github.com/tinladder/tinladder/ident"
+	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+)
+
+// namedInLine bounds the nodes that one line of the log names.
+const namedInLine = 8
+
+// tellStart tells what this process is, and what it goes by.
+func (n *Node) tellStart() {
+	s := n.settings()
+	n.log.WithFields(logrus.Fields{
+		"event": "started", "node": n.self.Node, "process": n.self, "hall": n.hall(), "callers": s.Node.Callers,
+		"store": s.Store.Address, "grace_ms": s.Bounds.Grace.Millis(), "retry_ratio": s.Retries.Ratio,
+		"retry_slack": s.Retries.Slack, "cores": s.Capacity.Cores,
+	}).Warn()
+}
+
+// A memberWatch tells the log of changes among the other nodes, one line for each kind of change.
+type memberWatch struct {
+	node    *Node
+	version uint64
+	known   map[ident.Process]string
+}
+
+func newMemberWatch(n *Node) *memberWatch {
+	return &memberWatch{node: n, known: map[ident.Process]string{}}
+}
+
+// tick compares the nodes with those that were there when last looked at.
+func (w *memberWatch) tick() {
+	v := w.node.members.Version()
+	if v == w.version {
+		return
+	}
+	w.version = v
+	now := map[ident.Process]string{}
+	changes := map[string][]string{}
+	for _, m := range w.node.members.Live() {
+		p := processOf(m)
+		now[p] = standing(m)
+		if w.known[p] != now[p] {
+			changes[now[p]] = append(changes[now[p]], m.GetNode())
+		}
+	}
+	for p := range w.known {
+		if _, found := now[p]; !found {
+			changes["gone"] = append(changes["gone"], string(p.Node))
+		}
+	}
+	w.known = now
+	for what, names := range changes {
+		w.node.log.WithFields(logrus.Fields{
+			"event": "member_" + what, "nodes": namesInLine(names), "count": len(names), "live": len(now), "version": v,
+		}).Info()
+	}
+}
+
+// standing says how a node is held.
+func standing(m *tlv1.Member) string {
+	switch {
+	case m.GetState() == tlv1.NodeState_NODE_STATE_SUSPECT:
+		return "suspected"
+	case m.GetLeaving():
+		return "leaving"
+	}
+	return "alive"
+}
+
+func namesInLine(names []string) string {
+	if more := len(names) - namedInLine; more > 0 {
+		return fmt.Sprintf("%s,and_%d_more", strings.Join(names[:namedInLine], ","), more)
+	}
+	return strings.Join(names, ",")
+}
--- a/node/wire.go
+++ b/node/wire.go
@@ -161,6 +161,7 @@
 		if err != nil {
 			return
 		}
+		n.metrics.heard.Inc()
 		switch b := p.GetBody().(type) {
 		case *tlv1.Parcel_Gossip:
 			n.sendGossip(n.members.Receive(b.Gossip))
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -100,15 +100,23 @@
 	return float64(max(over, 0)) * p.serviceTime / float64(max(t.Slots, 1))
 }
 
-// choose returns the best target for the request now, or nil if it should wait for one. Pressed
+// A choice is a target for a request, or none.
+type choice struct {
+	target *target
+	why    Reason
+	// next is the target that would have been chosen otherwise, if there was one.
+	next *target
+}
+
+// choose returns the best target for the request now, or none if it should wait for one. Pressed
 // requests, which have waited, may go to a target's own queue.
-func (p *Pool) choose(a *Ask, pressed bool) (*target, Reason) {
+func (p *Pool) choose(a *Ask, pressed bool) choice {
 	now := p.clock.Now()
 	if t, why := p.explore(a, now); t != nil {
-		return t, why
+		return choice{target: t, why: why}
 	}
-	var best *target
-	var least float64
+	var c choice
+	var least, second float64
 	free := false
 	queued := p.queueWait(now)
 	for _, t := range p.order {
@@ -123,15 +131,19 @@
 		if wait > 0 {
 			wait += queued
 		}
-		c := p.cost(t, a, n, wait, now) + tie*p.rand.Float64()
-		if best == nil || c < least {
-			best, least, free = t, c, n < t.Slots
+		cost := p.cost(t, a, n, wait, now) + tie*p.rand.Float64()
+		switch {
+		case c.target == nil || cost < least:
+			c.next, second = c.target, least
+			c.target, least, free = t, cost, n < t.Slots
+		case c.next == nil || cost < second:
+			c.next, second = t, cost
 		}
 	}
 	if !free && !pressed {
-		return nil, Best // it is better to wait for this one than to go to one that has a slot free
+		return choice{} // it is better to wait for this one than to go to one that has a slot free
 	}
-	return best, Best
+	return c
 }
 
 // tie is how much chance counts between targets that are nearly as good.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -297,21 +297,33 @@
 	// Why says why the target was chosen, and Failing how likely it was thought to be failing.
 	Why     Reason
 	Failing float64
+	// KnownAge is how old the last evidence on the target was; -1 if there was none.
+	KnownAge clock.Millis
+	// Next names the target that would have been chosen otherwise, and NextFailing how likely it was
+	// thought to be failing.
+	Next        ident.Target
+	NextFailing float64
 	// InFlight is what all nodes were thought to have at the target, this request too, of Slots.
 	InFlight, Slots int
 	from            clock.Millis
 	far, done       bool
 }
 
-func (p *Pool) lease(t *target, why Reason, now clock.Millis) *Lease {
+func (p *Pool) lease(c choice, now clock.Millis) *Lease {
+	t := c.target
+	m := &p.tuning.Model
+	l := &Lease{
+		pool: p, target: t, Target: t.ID, Address: t.Address, Why: c.why, from: now, far: !t.Near,
+		Failing: t.belief.Failing(m, now), KnownAge: clock.Millis(age(t.knownAt, now)),
+	}
+	if c.next != nil {
+		l.Next, l.NextFailing = c.next.ID, c.next.belief.Failing(m, now)
+	}
 	t.mine++
 	t.used, t.usedAt = true, now
 	t.changed = true
-	return &Lease{
-		pool: p, target: t, Target: t.ID, Address: t.Address, Why: why, from: now, far: !t.Near,
-		Failing:  t.belief.Failing(&p.tuning.Model, now),
-		InFlight: p.inFlight(t, now), Slots: t.Slots,
-	}
+	l.InFlight, l.Slots = p.inFlight(t, now), t.Slots
+	return l
 }
 
 // Usual is how long a request usually takes at the service's targets.
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -60,8 +60,8 @@
 		return nil, ErrNoTarget
 	}
 	if p.first(a) {
-		if t, why := p.choose(a, false); t != nil {
-			return p.lease(t, why, p.clock.Now()), nil
+		if c := p.choose(a, false); c.target != nil {
+			return p.lease(c, p.clock.Now()), nil
 		}
 	}
 	return nil, p.refuse(a)
@@ -168,11 +168,11 @@
 	var grants []grant
 	for e := p.waiting.Front(); e != nil; {
 		w, next := e.Value.(*waiter), e.Next()
-		t, why := p.choose(w.ask, w.pressed)
+		c := p.choose(w.ask, w.pressed)
 		var g grant
 		switch {
-		case t != nil:
-			g = grant{waiter: w, lease: p.lease(t, why, p.clock.Now())}
+		case c.target != nil:
+			g = grant{waiter: w, lease: p.lease(c, p.clock.Now())}
 		case !p.anyUsable(w.ask):
 			g = grant{waiter: w, err: ErrNoTarget}
 		default:
--- a/tinladder.go
+++ b/tinladder.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/logs"
 	"github.com/tinladder/tinladder/node"
 	"github.com/tinladder/tinladder/platform"
 	"github.com/tinladder/tinladder/platform/standin"
@@ -34,7 +35,7 @@
 // settings again from the path when they change.
 func New(s *settings.Settings, path string) (n *node.Node, err error) {
 	defer func() { err = errors.Wrap(err, "tinladder") }()
-	log, err := newLog(s.Log)
+	log, err := logs.New(os.Stdout, s.Log.Level)
 	if err != nil {
 		return nil, err
 	}
@@ -48,18 +49,6 @@
 	return node.New(s, path, On(address, c, log), c, log)
 }
 
-func newLog(s settings.Log) (*logrus.Logger, error) {
-	level, err := logrus.ParseLevel(s.Level)
-	if err != nil {
-		return nil, errors.Wrap(err, "log.level")
-	}
-	log := logrus.New()
-	log.SetOutput(os.Stdout)
-	log.SetLevel(level)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
-	return log, nil
-}
-
 // history is how long an embedded stand-in keeps changes.
 const history = 20 * clock.Second
 
@@ -75,7 +64,7 @@
 }
 
 // On returns the users' platform with its store at the address.
-func On(store string, c clock.Clock, log *logrus.Logger) node.Platform {
+func On(store string, c clock.Clock, log *logs.Log) node.Platform {
 	client := platform.NewClient(store)
 	bad := func(row string, err error) {
 		log.WithFields(logrus.Fields{"event": "row_refused", "row": row, "error": err}).Error()
--- /dev/null
+++ b/trace/story.go
@@ -0,0 +1,207 @@
+package trace
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/tinladder/tinladder/clock"
+)
+
+// Events of package node that are read here.
+const (
+	attemptFailed  = "attempt_failed"
+	requestFailed  = "request_failed"
+	requestServed  = "request_served"
+	requestRefused = "request_refused"
+	targetAvoided  = "target_avoided"
+	targetLeft     = "target_left"
+)
+
+// beliefBefore and beliefAfter are how far around an attempt the log is searched for what was
+// thought of its target.
+const (
+	beliefBefore = 20 * clock.Second
+	beliefAfter  = 1 * clock.Second
+)
+
+// A Story struct is what the nodes' logs say of one request.
+type Story struct {
+	Request string `json:"request"`
+	// Cause names why it was not served, as in the logs; "served" if it was, "" if no line names it.
+	Cause string `json:"cause"`
+	// Said is the cause in a sentence.
+	Said string `json:"said"`
+	// Lines are about the request, and about the targets that it went to, in order.
+	Lines []string `json:"lines"`
+}
+
+// Explain returns the story of a request from the lines of all nodes.
+func Explain(lines []*Line, request string) Story {
+	slices.SortStableFunc(lines, func(a, b *Line) int { return a.At.Compare(b.At) })
+	s := Story{Request: request}
+	var own []*Line
+	for _, l := range lines {
+		if l.Get("request") == request {
+			own = append(own, l)
+		}
+	}
+	if len(own) == 0 {
+		s.Said = "No line names this request. Requests that are served are only in the log now and then; their sums are in the lines of event=requests."
+		return s
+	}
+	told := slices.Clone(own)
+	for _, a := range own {
+		if a.Event == attemptFailed {
+			told = append(told, around(lines, a)...)
+		}
+	}
+	slices.SortStableFunc(told, func(a, b *Line) int { return a.At.Compare(b.At) })
+	for _, l := range slices.Compact(told) {
+		s.Lines = append(s.Lines, strings.TrimSpace(l.Source+" "+l.Text))
+	}
+	s.Cause, s.Said = say(own, lines)
+	return s
+}
+
+// around returns the last line before an attempt about what was thought of its target, on its own
+// node, and the first one after it on any node.
+func around(lines []*Line, attempt *Line) (found []*Line) {
+	var before, after *Line
+	for _, l := range lines {
+		if l.Get("target") != attempt.Get("target") || !strings.HasPrefix(l.Event, "target_") {
+			continue
+		}
+		age := attempt.At.Sub(l.At)
+		switch {
+		case age >= 0 && age <= beliefBefore.Duration() && l.Source == attempt.Source:
+			before = l
+		case age < 0 && -age <= beliefAfter.Duration() && after == nil:
+			after = l
+		}
+	}
+	for _, l := range []*Line{before, after} {
+		if l != nil {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
+// say returns the cause of how a request ended, in a word and in a sentence.
+func say(own, all []*Line) (cause, said string) {
+	end := own[len(own)-1]
+	for _, l := range own {
+		if l.Event == requestFailed || l.Event == requestRefused || l.Event == requestServed {
+			end = l
+		}
+	}
+	var attempts []*Line
+	for _, l := range own {
+		if l.Event == attemptFailed {
+			attempts = append(attempts, l)
+		}
+	}
+	switch end.Event {
+	case requestServed:
+		return "served", fmt.Sprintf("It was served with status %s after %s ms.%s", end.Get("status"), end.Get("ms"), sayAttempts(attempts, all))
+	case requestRefused:
+		return "refused", fmt.Sprintf("It was refused with status %s, since: %s (desired state version %s). It has not run.",
+			end.Get("status"), end.Get("reason"), end.Get("version"))
+	case requestFailed:
+		return end.Get("cause"), sayFailed(end) + sayAttempts(attempts, all)
+	}
+	return "open", "No line says how it ended; the node may have ended before it did." + sayAttempts(attempts, all)
+}
+
+// sayFailed says why a request was not served.
+func sayFailed(end *Line) string {
+	what := map[string]string{"repeatable": "A repeatable request", "once": "A run-once request"}[end.Get("kind")]
+	who := fmt.Sprintf("%s for service %s", what, end.Get("service"))
+	ms, waited, retry := end.Get("ms"), end.Get("waited_ms"), end.Get("retry_after_ms")
+	switch end.Get("cause") {
+	case "target_failed":
+		return fmt.Sprintf("%s got its target's own failure, status %s, after %s ms. It has run.", who, end.Get("status"), ms)
+	case "no_answer":
+		return fmt.Sprintf("%s was sent to a target that gave no answer that counts; after %s ms nobody can say whether it has run: %s.", who, ms, end.Get("reason"))
+	case "deadline":
+		return fmt.Sprintf("%s ran out of time at a target, after %s of %s ms, %s of them in the queue. It may have run.", who, ms, end.Get("deadline_ms"), waited)
+	case "answer_cut":
+		return fmt.Sprintf("%s was answered, and the answer was cut after it had begun: %s. It has run.", who, end.Get("reason"))
+	case "queue":
+		return fmt.Sprintf("%s was refused after %s ms, since its time would have passed before a slot came free. It has not run; the caller was told to come back in %s ms.", who, ms, retry)
+	case "no_target":
+		return fmt.Sprintf("%s was refused after %s ms, since no target could be reached or may take work. It has not run; the caller was told to come back in %s ms.", who, ms, retry)
+	case "shed":
+		return fmt.Sprintf("%s was refused after %s ms, since the targets that it was sent to are full and turned it away. It has not run; the caller was told to come back in %s ms.", who, ms, retry)
+	case "caller_left":
+		return fmt.Sprintf("%s lost its caller after %s ms: %s.", who, ms, end.Get("reason"))
+	}
+	return fmt.Sprintf("%s failed after %s ms: %s.", who, ms, end.Get("reason"))
+}
+
+// sayAttempts says of each attempt that failed how it did, and why the target was chosen.
+func sayAttempts(attempts, all []*Line) string {
+	var b strings.Builder
+	for _, a := range attempts {
+		fmt.Fprintf(&b, " Target %s %s after %s ms; it was chosen as %s, thought to be failing with %s%s, %s of its slots in use.",
+			a.Get("target"), sayOutcome(a), a.Get("ms"), sayWhy(a.Get("why")), a.Get("failing"), sayAge(a), a.Get("load"))
+		for _, l := range around(all, a) {
+			if l.At.Before(a.At) {
+				continue
+			}
+			switch l.Event {
+			case targetAvoided:
+				fmt.Fprintf(&b, " It was avoided from %d ms later on.", l.At.Sub(a.At).Milliseconds())
+			case targetLeft:
+				fmt.Fprintf(&b, " It was found to be leaving %d ms later.", l.At.Sub(a.At).Milliseconds())
+			}
+		}
+	}
+	return b.String()
+}
+
+func sayAge(a *Line) string {
+	if a.Millis("known_ms") < 0 {
+		return " (nothing was known of it)"
+	}
+	return fmt.Sprintf(" (by evidence of %s ms before)", a.Get("known_ms"))
+}
+
+// sayOutcome says how an attempt ended.
+func sayOutcome(a *Line) string {
+	switch a.Get("outcome") {
+	case "failed":
+		return "answered with status " + a.Get("status")
+	case "silent":
+		return "took the request and its connection ended without an answer (" + a.Get("error") + ")"
+	case "late":
+		return "did not answer in time"
+	case "unreachable":
+		return "could not be reached (" + a.Get("error") + ")"
+	case "shed":
+		return "turned the request away, unrun"
+	case "replaced":
+		return "is no more at its address"
+	case "abandoned":
+		return "was given up, which is not held against it"
+	}
+	return a.Get("outcome")
+}
+
+// sayWhy says why a target was chosen.
+func sayWhy(why string) string {
+	switch why {
+	case "best":
+		return "the best at hand"
+	case "joined":
+		return "a new one that nobody had tried"
+	case "idle":
+		return "one that had long gone without a request, with a request that may be repeated"
+	case "spread":
+		return "one of many to try, since too many requests of the service failed"
+	case "spare":
+		return "one to try, since those known to be sound were nearly full"
+	}
+	return why
+}
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,115 @@
+package trace_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/trace"
+)
+
+// night is what three nodes wrote; one source stands before its lines.
+const night = `
+time="2026-12-02T03:00:01.000Z" level=info event=target_avoided service=clerk target=i-1 failing=0.96 by=n2
+n2 | time="2026-12-02T03:00:00.900Z" level=warning event=attempt_failed request=aa service=clerk target=i-1 outcome=failed status=500 ms=12 failing=0.02 known_ms=310 load=1/3 why=best
+n2 | time="2026-12-02T03:00:00.901Z" level=warning event=request_failed request=aa kind=once service=clerk cause=target_failed status=500 ms=13 targets=i-1
+rubbish that no node wrote
+time="2026-12-02T03:00:02Z" level=warning event=request_failed request=bb kind=repeatable service=desk cause=queue status=503 ms=4 retry_after_ms=700 targets=
+time="2026-12-02T03:00:03Z" level=warning event=request_failed request=cc kind=repeatable service=desk cause=queue status=503 ms=5 retry_after_ms=700 targets=
+time="2026-12-02T03:00:04Z" level=warning event=request_refused request=dd status=404 reason="no route" version=12
+time="2026-12-02T03:00:05Z" level=info event=requests service=desk served=17 failed=2
+time="2026-12-02T03:00:06Z" level=warning event=log_lines_dropped lines=40
+time="2026-12-02T03:00:07Z" level=info event=request_served request=ee service=desk status=200 ms=9
+`
+
+func read(t *testing.T) (lines []*trace.Line) {
+	if err := trace.Read("n1", strings.NewReader(night), func(l *trace.Line) { lines = append(lines, l) }); err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+func TestExplain(t *testing.T) {
+	cases := []struct {
+		request, cause string
+		lines          int
+		said           []string
+	}{
+		{"aa", "target_failed", 3, []string{"run-once", "status 500", "evidence of 310 ms", "avoided from 100 ms later"}},
+		{"bb", "queue", 1, []string{"has not run", "come back in 700 ms"}},
+		{"dd", "refused", 1, []string{"no route", "version 12", "has not run"}},
+		{"ee", "served", 1, []string{"status 200"}},
+		{"zz", "", 0, []string{"No line names"}},
+	}
+	for _, c := range cases {
+		t.Run(c.request, func(t *testing.T) {
+			is := is.New(t)
+			s := trace.Explain(read(t), c.request)
+			is.Equal(s.Cause, c.cause)
+			is.Equal(len(s.Lines), c.lines)
+			for _, part := range c.said {
+				if !strings.Contains(s.Said, part) {
+					t.Errorf("%q is not in %q", part, s.Said)
+				}
+			}
+		})
+	}
+}
+
+func TestExplainPutsAllNodesInOrder(t *testing.T) {
+	is := is.New(t)
+	s := trace.Explain(read(t), "aa")
+	is.True(strings.HasPrefix(s.Lines[0], "n2 time="))
+	is.True(strings.HasPrefix(s.Lines[2], "n1 time="))
+	is.True(strings.Contains(s.Lines[2], "target_avoided"))
+}
+
+func TestSummary(t *testing.T) {
+	is := is.New(t)
+	s := trace.NewSummary(time.Time{})
+	for _, l := range read(t) {
+		s.Add(l)
+	}
+	s.Sort()
+	is.Equal(s.Served, 17)
+	is.Equal(s.Failed, 4)
+	is.Equal(s.Missing, int64(40))
+	is.Equal(len(s.Groups), 3)
+	is.Equal(s.Groups[0].Cause, "queue")
+	is.Equal(s.Groups[0].Requests, []string{"bb", "cc"})
+
+	late := trace.NewSummary(read(t)[5].At)
+	for _, l := range read(t) {
+		late.Add(l)
+	}
+	is.Equal(late.Failed, 1)
+}
+
+// TestLongLines passes over a line that is too long, and reads on.
+func TestLongLines(t *testing.T) {
+	is := is.New(t)
+	text := "time=x pad=" + strings.Repeat("y", 3<<20) + "\n" + strings.TrimSpace(night)
+	n := 0
+	is.NoErr(trace.Read("", strings.NewReader(text), func(*trace.Line) { n++ }))
+	is.Equal(n, len(read(t)))
+}
+
+func FuzzParse(f *testing.F) {
+	for line := range strings.SplitSeq(night, "\n") {
+		f.Add(line)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		l, ok := trace.Parse("n", text)
+		if !ok {
+			return
+		}
+		if l.Event == "" || l.At.IsZero() && !strings.Contains(text, "0001-01-01") {
+			t.Errorf("%q has no event or time", text)
+		}
+		s := trace.NewSummary(time.Time{})
+		s.Add(l)
+		s.Sort()
+		trace.Explain([]*trace.Line{l}, l.Get("request"))
+	})
+}
