A fault soak of our own: real nodes under seeded faults, with an oracle

Cause: promises under overlapping faults were proved by hand-written courses only. Faults: kills of any number, planned stops in series and again, freezes, reloads, one-way cuts and losses between nodes, the store away, slow, broken or forgetful for all or one, changes in a row, gray, crashing, leaving, joining targets, answers cut, doubled, late and unframed. Checks: own and whole answer, once at most, true refusals, planned stops, leaving, retry budget, in force in time, no way back, time bounds, return. Clocks cannot be set from outside a process without rights that it may not have; they are left to tests in virtual time. One run could not bind a port that another run had taken: ports are handed out once per process now.

--- a/emulate/ports.go
+++ b/emulate/ports.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"sync"
 )
 
 // Ports are taken from a range below those that systems hand out by themselves, so that nothing else
@@ -13,10 +14,17 @@
 	lastPort  = 30_000
 )
 
+// used are the ports that this process has handed out, so that none is handed out twice.
+var (
+	usedMu sync.Mutex
+	used   = map[int]bool{}
+)
+
 // Addresses returns addresses of loopback whose ports are free for connections and datagrams.
 func Addresses(n int) []string {
+	usedMu.Lock()
+	defer usedMu.Unlock()
 	var list []string
-	used := map[int]bool{}
 	for len(list) < n {
 		port := firstPort + rand.IntN(lastPort-firstPort)
 		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
--- /dev/null
+++ b/soak/callers.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tinladder/tinladder/platform"
+)
+
+const (
+	// workers send the requests of all callers, one at a time each.
+	workers = 24
+	// answerBound is how long a caller waits for an answer.
+	answerBound = 4 * time.Second
+	// probeEvery is how often each node is asked which desired state it goes by.
+	probeEvery = 100 * time.Millisecond
+	// keptShare is the share of requests that go out on the connection of the one before, for as
+	// long as the node keeps it.
+	keptShare = 0.9
+)
+
+// A sent is one request, and what became of it for its caller.
+type sent struct {
+	id, path string
+	once     bool
+	node     *process
+	life     int
+	at, end  time.Time
+	// status is 0 if no whole answer came; body and mark are of one that did.
+	status     int
+	body, mark string
+	// written says that the request went out whole, and unread that its connection ended before any
+	// byte of an answer.
+	written, unread bool
+}
+
+// callers send requests to nodes, over connections that they keep until the node ends them.
+type callers struct {
+	world  *world
+	oracle *oracle
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+func newCallers(w *world, o *oracle) *callers {
+	return &callers{world: w, oracle: o}
+}
+
+// start sends at the rate of the world's settings until stop.
+func (c *callers) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	pause := time.Duration(float64(workers) / c.world.cfg.Rate * float64(time.Second))
+	for i := range workers {
+		c.wg.Go(func() { c.work(ctx, i, pause) })
+	}
+	for _, p := range c.world.nodes {
+		c.wg.Go(func() { c.probe(ctx, p) })
+	}
+}
+
+func (c *callers) stop() {
+	c.cancel()
+	c.wg.Wait()
+}
+
+// work sends one request after the other, to a node that is chosen anew when its connection ends.
+func (c *callers) work(ctx context.Context, worker int, pause time.Duration) {
+	r := rand.New(rand.NewPCG(c.world.cfg.Seed, uint64(worker)+100))
+	var conn *conn
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(time.Duration(float64(pause) * (0.5 + r.Float64())))
+		if conn == nil || r.Float64() > keptShare {
+			conn.close()
+			conn = dial(c.world.someNode(r))
+		}
+		s := &sent{id: fmt.Sprintf("w%d-%d", worker, i), path: "/get/", once: r.IntN(2) == 0}
+		if s.once {
+			s.path = "/once/"
+		}
+		if conn == nil {
+			continue
+		}
+		if !conn.send(s) {
+			conn.close()
+			conn = nil
+		}
+		c.oracle.add(s)
+	}
+	conn.close()
+}
+
+// probe asks one node again and again for routes that only the newest desired states have.
+func (c *callers) probe(ctx context.Context, p *process) {
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(probeEvery)
+		v, _ := c.world.newest()
+		if i%2 == 1 && v > 1 {
+			v--
+		}
+		conn := dial(p)
+		if conn == nil {
+			continue
+		}
+		s := &sent{id: fmt.Sprintf("p-%s-%d", p.name, i), path: versionPath(v)}
+		conn.send(s)
+		conn.close()
+		c.oracle.addProbe(s, v)
+	}
+}
+
+// A conn is a caller's connection to a node.
+type conn struct {
+	net    net.Conn
+	reader *bufio.Reader
+	node   *process
+	life   int
+}
+
+// dial returns a connection to the node, or nil.
+func dial(p *process) *conn {
+	life := p.lives()
+	n, err := net.DialTimeout("tcp", p.callers, time.Second)
+	if err != nil {
+		return nil
+	}
+	return &conn{net: n, reader: bufio.NewReader(n), node: p, life: life}
+}
+
+func (c *conn) close() {
+	if c != nil {
+		_ = c.net.Close()
+	}
+}
+
+// send sends a request and reads its answer. It says whether the connection may be used again.
+func (c *conn) send(s *sent) bool {
+	s.node, s.life, s.at = c.node, c.life, time.Now()
+	defer func() { s.end = time.Now() }()
+	_ = c.net.SetDeadline(s.at.Add(answerBound))
+	text := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: 4\r\n\r\nbody",
+		s.path, host, platform.Headers().RequestID, s.id, platform.Headers().Deadline, (2 * routeTimeout).Milliseconds())
+	if _, err := io.WriteString(c.net, text); err != nil {
+		return false
+	}
+	s.written = true
+	if _, err := c.reader.Peek(1); err != nil {
+		s.unread = true
+		return false
+	}
+	res, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return false
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return false
+	}
+	s.status, s.body, s.mark = res.StatusCode, string(body), res.Header.Get(signature)
+	return !res.Close && !strings.EqualFold(res.Header.Get("Connection"), "close")
+}
+
+// signature is on answers of targets.
+const signature = "X-Upstream-Signature"
+
+// String tells of the request, for reports.
+func (s *sent) String() string {
+	return fmt.Sprintf("request %s to %s%s at %s: status %s after %s",
+		s.id, s.node.name, s.path, s.at.Format("15:04:05.000"), strconv.Itoa(s.status), s.end.Sub(s.at).Round(time.Millisecond))
+}
--- /dev/null
+++ b/soak/oracle.go
@@ -0,0 +1,275 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tinladder/tinladder/platform/standin"
+)
+
+// An oracle keeps what callers saw, and compares it with what targets saw.
+type oracle struct {
+	world *world
+
+	mu     sync.Mutex
+	sent   []*sent
+	probes []*probed
+	calm   time.Time
+	found  []string
+}
+
+// A probed is a request that shows which desired state a node went by.
+type probed struct {
+	*sent
+	version uint64
+}
+
+func newOracle(w *world) *oracle {
+	return &oracle{world: w}
+}
+
+func (o *oracle) add(s *sent) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sent = append(o.sent, s)
+}
+
+func (o *oracle) addProbe(s *sent, version uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.probes = append(o.probes, &probed{s, version})
+}
+
+// calmFrom says from when on the fleet must serve again.
+func (o *oracle) calmFrom(t time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.calm = t
+}
+
+func (o *oracle) breach(promise, format string, args ...any) {
+	o.found = append(o.found, promise+": "+fmt.Sprintf(format, args...))
+}
+
+// judge compares all that was seen.
+func (o *oracle) judge() *Report {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	runs := o.runs()
+	r := &Report{}
+	var back, calm int
+	for _, s := range o.sent {
+		r.Sent++
+		o.checkAnswer(s)
+		o.checkRuns(s, runs[s.id])
+		o.checkCut(s, runs[s.id])
+		o.checkTime(s)
+		ok := s.status == http.StatusOK
+		switch {
+		case ok:
+			r.Served++
+		case isPromise(s.status):
+			r.Refused++
+		default:
+			r.Failed++
+		}
+		if s.at.After(o.calm) {
+			calm++
+			if ok {
+				back++
+			}
+		}
+	}
+	r.Back = float64(back) / float64(max(calm, 1))
+	if r.Back < leastBack {
+		o.breach("recovery", "%d of %d requests were served once all faults were over", back, calm)
+	}
+	o.checkLeaving()
+	o.checkBudget()
+	o.checkStates()
+	r.Breaches = o.found
+	return r
+}
+
+// leastBack is the least share of requests to be served once all faults are over.
+const leastBack = 0.9
+
+// runs returns how often each request ran.
+func (o *oracle) runs() map[string]int {
+	runs := map[string]int{}
+	for _, t := range o.world.all() {
+		for _, x := range t.Seen() {
+			if x.Ran {
+				runs[x.ID]++
+			}
+		}
+	}
+	return runs
+}
+
+// isPromise says whether the status tells a caller that its request has not run.
+func isPromise(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest ||
+		status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// checkAnswer: a success is the whole answer of a target to this request.
+func (o *oracle) checkAnswer(s *sent) {
+	if s.status == http.StatusOK && (s.body != "answer to "+s.id || s.mark != s.id) {
+		o.breach("own answer", "%s: body %q, signature %q", s, s.body, s.mark)
+	}
+}
+
+// checkRuns: run-once requests run at most once, and not at all if the caller was told so.
+func (o *oracle) checkRuns(s *sent, runs int) {
+	switch {
+	case s.once && runs > 1:
+		o.breach("once", "%s ran %d times", s, runs)
+	case s.once && runs > 0 && isPromise(s.status):
+		o.breach("not run", "%s ran", s)
+	case s.status == http.StatusOK && runs == 0:
+		o.breach("own answer", "%s was answered and never ran", s)
+	}
+}
+
+// checkCut: a planned stop cuts no request that a target has, or that was sent long before its end.
+func (o *oracle) checkCut(s *sent, runs int) {
+	if !s.unread || !s.written || s.node.disturbed(s.at.Add(-contact), s.end) || !s.node.stopping(s.at, s.end) {
+		return
+	}
+	if late := s.end.Sub(s.at); late < answerBound && (runs > 0 || late > lossSlack+machineSlack) {
+		o.breach("planned stop", "%s lost its connection, ran %d times", s, runs)
+	}
+}
+
+// checkTime: a node that runs answers within the route's time.
+func (o *oracle) checkTime(s *sent) {
+	took := s.end.Sub(s.at)
+	if took > routeTimeout+500*time.Millisecond+machineSlack && !s.node.disturbed(s.at.Add(-contact), s.end) && !s.node.stopping(s.at, s.end) {
+		o.breach("time", "%s", s)
+	}
+}
+
+// inTouch says whether all nodes and their ways to the store were well throughout the time.
+func (o *oracle) inTouch(from, to time.Time) bool {
+	for _, p := range o.world.nodes {
+		if p.disturbed(from, to) || p.stopping(from, to) {
+			return false
+		}
+	}
+	return true
+}
+
+// checkLeaving: a target that is known to be leaving gets no new work. Targets cannot tell nodes
+// apart, so this holds at times when all are in touch.
+func (o *oracle) checkLeaving() {
+	for _, t := range o.world.all() {
+		bound := t.leftAt.Add(drainTimeout + machineSlack)
+		if t.leftAt.IsZero() || !o.inTouch(t.leftAt.Add(-contact), bound) {
+			continue
+		}
+		for _, x := range t.Seen() {
+			if x.At.After(bound) {
+				o.breach("leaving", "target %s got request %s %s after it left", t.ID, x.ID, x.At.Sub(t.leftAt))
+			}
+		}
+	}
+}
+
+// checkBudget: further arrivals of requests stay within a share of the requests and a slack, in any
+// window, for each service.
+func (o *oracle) checkBudget() {
+	for i, service := range services {
+		var firsts, more []time.Time
+		arrived := map[string]bool{}
+		for _, x := range o.arrivals(service) {
+			if arrived[x.ID] {
+				more = append(more, x.At)
+			}
+			arrived[x.ID] = true
+		}
+		for _, s := range o.sent {
+			if s.once == (i == 1) {
+				firsts = append(firsts, s.at)
+			}
+		}
+		for _, p := range o.probes {
+			if i == 0 {
+				firsts = append(firsts, p.at)
+			}
+		}
+		slices.SortFunc(firsts, time.Time.Compare)
+		for j, end := range more {
+			n := 0
+			for _, at := range more[:j+1] {
+				if end.Sub(at) < retryWindow {
+					n++
+				}
+			}
+			asked := max(count(firsts, end.Add(-retryWindow), end), count(firsts, end.Add(-2*retryWindow), end.Add(-retryWindow)))
+			if allowed := retryRatio*float64(asked) + budgetSlack; float64(n) > allowed {
+				o.breach("retry budget", "service %s: %d further arrivals within %s, %.0f allowed", service, n, retryWindow, allowed)
+				break
+			}
+		}
+	}
+}
+
+// arrivals returns the requests that came to a service's targets, in order.
+func (o *oracle) arrivals(service string) []standin.Seen {
+	var list []standin.Seen
+	for _, t := range o.world.all() {
+		if t.Service == service {
+			list = append(list, t.Seen()...)
+		}
+	}
+	slices.SortFunc(list, func(a, b standin.Seen) int { return a.At.Compare(b.At) })
+	return list
+}
+
+func count(times []time.Time, from, to time.Time) (n int) {
+	for _, t := range times {
+		if t.After(from) && !t.After(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// checkStates: a desired state is in force in time on nodes that are in touch, and within one life a
+// node does not go back.
+func (o *oracle) checkStates() {
+	type life struct {
+		node *process
+		n    int
+	}
+	newest := map[life]uint64{}
+	slices.SortFunc(o.probes, func(a, b *probed) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+	for _, p := range o.probes {
+		l := life{p.node, p.life}
+		unknown := p.status == http.StatusNotFound
+		switch acked := o.world.acked[p.version]; {
+		case unknown && newest[l] >= p.version && o.world.versionAt(p.end) <= p.version+1:
+			o.breach("no way back", "%s, version %d, after version %d was in force", p.sent, p.version, newest[l])
+		case unknown && p.at.Sub(acked) > configApply+machineSlack && o.world.versionAt(p.end) <= p.version+1 &&
+			!p.node.disturbed(acked.Add(-contact), p.end) && !p.node.stopping(acked.Add(-contact), p.end):
+			o.breach("in force", "%s, version %d, %s after it was taken", p.sent, p.version, p.at.Sub(acked))
+		case !unknown && p.status != 0 && p.status != http.StatusServiceUnavailable:
+			newest[l] = max(newest[l], p.version)
+		}
+	}
+}
+
+// versionAt returns the newest version that the store had at the time.
+func (w *world) versionAt(t time.Time) (newest uint64) {
+	for v, at := range w.acked {
+		if !at.After(t) {
+			newest = max(newest, v)
+		}
+	}
+	return newest
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,113 @@
+// Package soak runs real nodes as processes on one machine, strikes them with faults that a seed
+// draws, and checks the fleet's promises from what callers and targets see.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The promises' bounds, as in the settings that the nodes get; the slacks are for this machine.
+const (
+	routeTimeout = 1500 * time.Millisecond
+	grace        = 4 * time.Second
+	drainTimeout = 2 * time.Second
+	configApply  = 2 * time.Second
+	contact      = 3 * time.Second
+	lossSlack    = 200 * time.Millisecond
+	retryRatio   = 0.2
+	retryWindow  = 10 * time.Second
+	budgetSlack  = 30
+	// machineSlack is how much later than in the rules something may happen, since callers, targets
+	// and nodes share this machine.
+	machineSlack = 700 * time.Millisecond
+)
+
+// A Config struct says what a run is made of.
+type Config struct {
+	Seed uint64
+	// Nodes and Targets are how many there are at the start.
+	Nodes, Targets int
+	// Rate is requests a second, of all callers.
+	Rate float64
+	// Faults is for how long faults begin, and Calm how long the fleet has to come back, and is then
+	// looked at for.
+	Faults, Calm time.Duration
+	// Binary is the node's program, and Dir where settings and logs go.
+	Binary, Dir string
+}
+
+// Usual is a run of the usual size: a few processes, about 20 s.
+func Usual(seed uint64, binary, dir string) Config {
+	return Config{
+		Seed: seed, Nodes: 6, Targets: 10, Rate: 80, Faults: 12 * time.Second, Calm: 5 * time.Second, Binary: binary, Dir: dir,
+	}
+}
+
+// A Report struct is what a run showed.
+type Report struct {
+	Seed uint64
+	// Breaches are broken promises; there must be none.
+	Breaches []string
+	// Timeline tells what was done, and when.
+	Timeline []string
+	Sent, Served,
+	Refused, Failed int
+	// Back is the share of requests that were served once all faults were over.
+	Back float64
+}
+
+// A timeline notes what happens.
+type timeline struct {
+	mu    sync.Mutex
+	start time.Time
+	lines []string
+}
+
+func (t *timeline) note(format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lines = append(t.lines, fmt.Sprintf("%7.3f s  ", time.Since(t.start).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (t *timeline) sorted() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sort.Strings(t.lines)
+	return t.lines
+}
+
+// startUp is how long a fleet has to be ready.
+const startUp = 20 * time.Second
+
+// Run plays one seed.
+func Run(cfg Config) (r *Report, err error) {
+	defer func() { err = errors.Wrapf(err, "soak seed %d", cfg.Seed) }()
+	w, err := newWorld(cfg)
+	if err != nil {
+		return nil, err
+	}
+	defer w.close()
+	if err := w.ready(startUp); err != nil {
+		return nil, err
+	}
+	tl := &timeline{start: time.Now()}
+	o := newOracle(w)
+	c := newCallers(w, o)
+	c.start()
+	time.Sleep(contact)
+	strike(w, rand.New(rand.NewPCG(cfg.Seed, 1)), tl)
+	tl.note("all faults are over")
+	time.Sleep(cfg.Calm)
+	o.calmFrom(time.Now())
+	time.Sleep(cfg.Calm)
+	c.stop()
+	r = o.judge()
+	r.Seed, r.Timeline = cfg.Seed, tl.sorted()
+	return r, nil
+}
--- /dev/null
+++ b/soak/world.go
@@ -0,0 +1,334 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/emulate"
+	"github.com/tinladder/tinladder/platform"
+	"github.com/tinladder/tinladder/platform/standin"
+)
+
+const (
+	// host is where all requests go.
+	host = "shop"
+	// slots and takes are of each target: it bears 60 requests a second.
+	slots = 3
+	takes = 50 * time.Millisecond
+	// history is how long the stand-in's store keeps changes.
+	history = 20 * clock.Second
+)
+
+// A span of time; one that goes on has no end yet.
+type span struct {
+	from, to time.Time
+}
+
+// A process is one node of the fleet, as a process of its own, with a way of its own to the store.
+type process struct {
+	name     string
+	settings string
+	log      string
+	callers  string
+	ready    string
+	door     *standin.Door
+	relay    *emulate.Relay
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// life counts the processes that ran in this place.
+	life int
+	// hurt are the times at which faults struck it, planned those of planned stops.
+	hurt, planned []span
+}
+
+// disturbed says whether a fault struck the node within the time, or goes on.
+func (p *process) disturbed(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return overlaps(p.hurt, from, to)
+}
+
+// stopping says whether a planned stop of the node fell into the time.
+func (p *process) stopping(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return overlaps(p.planned, from, to)
+}
+
+func overlaps(list []span, from, to time.Time) bool {
+	for _, s := range list {
+		if s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
+// hurting notes that a fault strikes the node until the returned function is called, and stops that it
+// is stopped as planned.
+func (p *process) hurting() (end func()) { return p.during(&p.hurt) }
+func (p *process) stops() (end func())   { return p.during(&p.planned) }
+
+func (p *process) during(list *[]span) (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := len(*list)
+	*list = append(*list, span{from: time.Now()})
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		(*list)[i].to = time.Now()
+	}
+}
+
+func (p *process) lives() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.life
+}
+
+// start starts the node's next process.
+func (p *process) start(binary string) (err error) {
+	defer func() { err = errors.Wrapf(err, "start %s", p.name) }()
+	f, err := os.OpenFile(p.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	cmd := exec.Command(binary, p.settings)
+	cmd.Stdout, cmd.Stderr = f, f
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = cmd
+	p.life++
+	return nil
+}
+
+// signal sends a signal to the node's process, which this program has started.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd != nil {
+		_ = cmd.Process.Signal(s)
+	}
+}
+
+// A world is the stand-ins, the nodes, and what is known of them.
+type world struct {
+	cfg     Config
+	store   *standin.Store
+	nodes   []*process
+	servers []*http.Server
+
+	mu      sync.Mutex
+	targets []*backend
+	version uint64
+	acked   map[uint64]time.Time
+}
+
+// A backend is a target behind a relay of its own.
+type backend struct {
+	*standin.Target
+	leftAt time.Time
+}
+
+// newWorld starts the stand-ins and the nodes.
+func newWorld(cfg Config) (w *world, err error) {
+	w = &world{cfg: cfg, store: standin.New(clock.NewSystem(), history), acked: map[uint64]time.Time{}}
+	defer func() {
+		if err != nil {
+			w.close()
+		}
+	}()
+	for i := range cfg.Targets {
+		if err := w.addTarget(services[i%len(services)], fmt.Sprint("h", i%halls)); err != nil {
+			return w, err
+		}
+	}
+	w.configure()
+	for i := range cfg.Nodes {
+		if err := w.addNode(i); err != nil {
+			return w, err
+		}
+	}
+	for _, p := range w.nodes {
+		if err := w.writeSettings(p); err != nil {
+			return w, err
+		}
+		if err := p.start(cfg.Binary); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+const halls = 3
+
+// services are what the routes lead to.
+var services = []string{"desk", "clerk"}
+
+func (w *world) addTarget(service, hall string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t, err := standin.NewTarget(w.store, fmt.Sprint("i-", len(w.targets)), service, hall, slots, takes)
+	if err != nil {
+		return err
+	}
+	w.targets = append(w.targets, &backend{Target: t})
+	return nil
+}
+
+// all returns all targets that there were.
+func (w *world) all() []*backend {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*backend(nil), w.targets...)
+}
+
+// configure writes the next desired state. Each has a route of its own, and that of the state before.
+func (w *world) configure() {
+	w.mu.Lock()
+	w.version++
+	v := w.version
+	w.mu.Unlock()
+	routes := []standin.RouteRow{
+		route("get", "/get/", standin.Repeatable, services[0]),
+		route("once", "/once/", standin.RunOnce, services[1]),
+		route("now", versionPath(v), standin.Repeatable, services[0]),
+	}
+	if v > 1 {
+		routes = append(routes, route("before", versionPath(v-1), standin.Repeatable, services[0]))
+	}
+	w.store.Configure(v, services, routes...)
+	w.mu.Lock()
+	w.acked[v] = time.Now()
+	w.mu.Unlock()
+}
+
+// newest returns the newest version, and when the store took it.
+func (w *world) newest() (version uint64, at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version, w.acked[w.version]
+}
+
+func versionPath(v uint64) string {
+	return fmt.Sprintf("/v%d/", v)
+}
+
+func route(name, prefix, kind, service string) standin.RouteRow {
+	return standin.RouteRow{
+		Name: name, Host: host, Prefix: prefix, Kind: kind, Timeout: fmt.Sprintf("%dms", routeTimeout.Milliseconds()),
+		Aim: "400ms", Service: service, Attempts: 3,
+	}
+}
+
+func (w *world) addNode(i int) error {
+	free := emulate.Addresses(4)
+	p := &process{
+		name: fmt.Sprint("n", i), callers: free[0], ready: free[1], door: standin.NewDoor(w.store),
+		settings: filepath.Join(w.cfg.Dir, fmt.Sprintf("n%d.toml", i)), log: filepath.Join(w.cfg.Dir, fmt.Sprintf("n%d.log", i)),
+	}
+	var err error
+	if p.relay, err = emulate.NewRelay(free[2], free[3], free[2], free[3]); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: p.door, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(l) }()
+	w.servers = append(w.servers, s)
+	w.nodes = append(w.nodes, p)
+	text := fmt.Sprintf(`
+[node]
+name = %q
+hall = "h%d"
+callers = %q
+readiness = %q
+peers = %q
+advertise_peers = %q
+[store]
+address = %q
+[bounds]
+grace = "%dms"
+[retries]
+slack = %d
+`, p.name, i%halls, p.callers, p.ready, free[3], free[2], l.Addr(), grace.Milliseconds(), budgetSlack)
+	return os.WriteFile(p.settings+".part", []byte(text), 0o600)
+}
+
+// writeSettings completes a node's settings with the seeds, which are known once all have addresses.
+func (w *world) writeSettings(p *process) error {
+	part, err := os.ReadFile(p.settings + ".part")
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for _, o := range w.nodes[:min(3, len(w.nodes))] {
+		text, err := os.ReadFile(o.settings + ".part")
+		if err != nil {
+			return err
+		}
+		_, after, _ := strings.Cut(string(text), "advertise_peers = ")
+		address, _, _ := strings.Cut(after, "\n")
+		seeds = append(seeds, address)
+	}
+	text := string(part) + "[fleet]\nseeds = [" + strings.Join(seeds, ", ") + "]\n"
+	return os.WriteFile(p.settings, []byte(text), 0o600)
+}
+
+// ready waits until all nodes take callers.
+func (w *world) ready(bound time.Duration) error {
+	client := &http.Client{Timeout: time.Second}
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		ok := 0
+		for _, p := range w.nodes {
+			res, err := client.Get("http://" + p.ready + platform.ReadyPath)
+			if err != nil {
+				continue
+			}
+			_ = res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				ok++
+			}
+		}
+		if ok == len(w.nodes) {
+			return nil
+		}
+	}
+	return errors.New("the nodes are not ready")
+}
+
+// close ends all that was started.
+func (w *world) close() {
+	for _, p := range w.nodes {
+		if cmd := p.take(); cmd != nil {
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait()
+		}
+		p.relay.Close()
+	}
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+	for _, t := range w.targets {
+		t.Close()
+	}
+}
--- a/trace/line.go
+++ b/trace/line.go
@@ -64,8 +64,8 @@
 	if i < 0 {
 		return nil, false
 	}
-	if before := strings.Trim(text[:i], " \t|[]:"); before != "" {
-		source = before
+	if before := strings.FieldsFunc(text[:i], notName); len(before) > 0 {
+		source = before[len(before)-1] // collectors put a time or a number first
 	}
 	l := &Line{Source: source, Text: strings.TrimSpace(text[i:]), fields: map[string]string{}}
 	d := logfmt.NewDecoder(strings.NewReader(l.Text))
@@ -82,6 +82,11 @@
 	return l, true
 }
 
+// notName says whether a character stands between a collector's words.
+func notName(r rune) bool {
+	return strings.ContainsRune(" \t|[]:", r)
+}
+
 // Read calls f for each line of a log. Lines that no node wrote are passed over.
 func Read(source string, r io.Reader, f func(l *Line)) error {
 	b := bufio.NewReader(r)
