A process whose clock went back outlives its predecessor

Cause: a node's processes are ordered by the time of day at their start. Now a process raises its life above that of a predecessor at its own address that it hears of within 5 s of its start, and others tell it. Ruled out: ignoring records of the same address (a frozen process must still learn that it was replaced); a number from the store (it may be away at the start). TestRestartAfterTheClockWentBack: red in three cases before, green after.

--- a/member/member.go
+++ b/member/member.go
@@ -36,10 +36,20 @@
 	return 0
 }
 
+// lifeOf orders the processes of one node.
+func lifeOf(m *tlv1.Member) uint64 {
+	if m.GetLife() > 0 {
+		return m.GetLife()
+	}
+	return m.GetIncarnation()
+}
+
 // newer says whether a tells more recent things of a node than b does. A later process wins,
 // then the process's own later word, then the worse news.
 func newer(a, b *tlv1.Member) bool {
 	switch {
+	case lifeOf(a) != lifeOf(b):
+		return lifeOf(a) > lifeOf(b)
 	case a.GetIncarnation() != b.GetIncarnation():
 		return a.GetIncarnation() > b.GetIncarnation()
 	case a.GetRumor() != b.GetRumor():
--- a/member/table.go
+++ b/member/table.go
@@ -83,6 +83,8 @@
 	lastAck    clock.Millis
 	superseded bool
 	version    uint64
+	// born is when this process began.
+	born clock.Millis
 }
 
 // New returns a table that knows only the node itself.
@@ -102,6 +104,7 @@
 		relays:   map[uint64]relay{},
 		lastTick: now,
 		lastAck:  now,
+		born:     now,
 	}
 }
 
@@ -253,11 +256,12 @@
 	return nil
 }
 
-// answer returns the ack of a ping. It tells the sender what is held of it, if that is bad.
+// answer returns the ack of a ping. It tells the sender what is held of it, if that is bad, or of
+// another process.
 func (t *Table) answer(g *tlv1.Gossip) Send {
 	s := t.message(tlv1.GossipKind_GOSSIP_KIND_ACK, g.GetSeq(), g.GetFrom().GetGossipAddress())
 	e := t.entries[g.GetFrom().GetNode()]
-	if e != nil && e.member.GetState() != tlv1.NodeState_NODE_STATE_ALIVE {
+	if e != nil && (e.member.GetState() != tlv1.NodeState_NODE_STATE_ALIVE || e.member.GetIncarnation() != g.GetFrom().GetIncarnation()) {
 		s.Gossip.Members = append(s.Gossip.Members, e.member)
 	}
 	return s
@@ -343,13 +347,12 @@
 	return true
 }
 
-// takeOfSelf answers bad news of this process, and notes a later process of this node.
+// takeOfSelf answers bad news of this process, outlives an earlier process in this place, and notes a
+// later one.
 func (t *Table) takeOfSelf(m *tlv1.Member) {
 	switch {
-	case m.GetIncarnation() > t.self.GetIncarnation():
-		t.superseded = true
-	case m.GetIncarnation() < t.self.GetIncarnation():
-		return
+	case m.GetIncarnation() != t.self.GetIncarnation():
+		t.takeOfOther(m)
 	case m.GetState() == tlv1.NodeState_NODE_STATE_ALIVE || m.GetRumor() < t.self.GetRumor():
 		return
 	case t.isolated():
@@ -359,3 +362,22 @@
 		t.sayOfSelf()
 	}
 }
+
+// outliveWithin is how long after its start a process takes one that seems to be later than itself for
+// an earlier one, of the time before the VM's clock went back. It is longer than news of the
+// earlier one takes to come.
+const outliveWithin = 5 * clock.Second
+
+// takeOfOther takes in news of another process of this node. One that had this process's address has
+// ended, since this one listens there.
+func (t *Table) takeOfOther(m *tlv1.Member) {
+	switch {
+	case lifeOf(m) < lifeOf(t.self):
+		return
+	case m.GetGossipAddress() == t.self.GetGossipAddress() && t.clock.Now()-t.born < outliveWithin:
+		t.self.Life = lifeOf(m) + 1
+		t.sayOfSelf()
+	default:
+		t.superseded = true
+	}
+}
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -147,6 +147,35 @@
 	is.True(old.Superseded())
 }
 
+// TestRestartAfterTheClockWentBack restarts a node with a lower incarnation than before. The new
+// process takes the place of the old one all the same.
+func TestRestartAfterTheClockWentBack(t *testing.T) {
+	for _, down := range []clock.Millis{200, 3 * clock.Second, 20 * clock.Second} {
+		t.Run(fmt.Sprint(down), func(t *testing.T) {
+			is := is.New(t)
+			w := newNet(20, 5)
+			w.start("n05", 5000)
+			w.run(20 * clock.Second)
+			w.tables["n05"] = nil
+			w.run(down)
+			w.start("n05", 3000) // two seconds earlier, by its own clock
+			w.run(5 * clock.Second)
+			is.True(!w.tables["n05"].Superseded())
+			is.Equal(w.seenBy("n05"), 19)
+			for _, name := range w.order {
+				if name == "n05" {
+					continue
+				}
+				for _, m := range w.tables[name].Live() {
+					if m.GetNode() == "n05" {
+						is.Equal(m.GetIncarnation(), uint64(3000))
+					}
+				}
+			}
+		})
+	}
+}
+
 func TestOneWayCutOfAPairRemovesNobody(t *testing.T) {
 	is := is.New(t)
 	w := newNet(10, 5)
