Deal the slack of retries by the nodes of late; a young process gets its part by and by

A process that follows a killed one had its part of the slack again within the same window. The retries that are denied are those of requests sent directly to nodes that carry nothing, which earn nothing.

--- /dev/null
+++ b/node/retries.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/pool"
+	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+)
+
+// The fleet's budget of retries is dealt out, so that it holds whoever hears whom: each node has the
+// ratio of its own requests, and a part of the slack.
+
+// knownFor is how long nodes that were heard count as nodes of late.
+const knownFor = 30 * clock.Second
+
+// deal gives each service's budget this node's part of the slack.
+func (s *services) deal() {
+	for _, svc := range s.all() {
+		svc.pool.Budget().SetSlack(s.slack(svc.name))
+	}
+}
+
+// slack is this node's part of the fleet's slack of retries for the service. A process that is young
+// may follow one that has just used its part, so that it gets its own part by and by.
+func (s *services) slack(service string) float64 {
+	n := s.node
+	live := len(n.members.Live()) + 1
+	carriers := n.carriers.all(service)
+	part := pool.SlackShare(pool.View{
+		Carries:  slices.ContainsFunc(carriers, func(m *tlv1.Member) bool { return processOf(m) == n.self }),
+		Carriers: len(carriers), Live: live, Known: s.most.see(live, n.clock.Now()),
+	})
+	r := n.settings().Retries
+	age := float64(n.clock.Now()-n.duty.since) / float64(max(r.Window.Millis(), 1))
+	return r.Slack * part * min(age, 1)
+}
+
+// A peak is the most of something of late.
+type peak struct {
+	mu   sync.Mutex
+	most int
+	at   clock.Millis
+}
+
+// see takes in a value and returns the most of late.
+func (p *peak) see(n int, now clock.Millis) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n >= p.most || now-p.at > knownFor {
+		p.most, p.at = n, now
+	}
+	return p.most
+}
--- a/node/services.go
+++ b/node/services.go
@@ -22,13 +22,6 @@
 	farEvery  clock.Millis = 500
 	// usedFor is how long after its last report a node is told of evidence on a service's targets.
 	usedFor = 8 * clock.Second
-	// ratioShare is the part of the fleet's ratio of retries that each node uses, of its own requests.
-	ratioShare = 0.93
-	// carrierSlack is the part of the fleet's slack of retries that is dealt to the nodes that carry
-	// a service, and otherSlack the part dealt to all others. What is left is for nodes that hold
-	// different views of who carries it.
-	carrierSlack = 0.45
-	otherSlack   = 0.2
 )
 
 // A service is what this node knows of one service's targets.
@@ -55,6 +48,8 @@
 	byName map[string]*service
 	// members is the version of the members that the targets were last looked at with.
 	members uint64
+	// most is how many nodes there were of late.
+	most peak
 }
 
 func newServices(n *Node) *services {
@@ -77,7 +72,7 @@
 	n := s.node
 	r := n.settings().Retries
 	svc := &service{name: name, users: map[ident.Process]clock.Millis{}}
-	b := pool.NewBudget(n.clock, r.Ratio*ratioShare, s.slack(name), r.Window.Millis())
+	b := pool.NewBudget(n.clock, r.Ratio*pool.RatioShare, s.slack(name), r.Window.Millis())
 	svc.pool = pool.New(pool.DefaultTuning, n.clock, newRand(), b, func(w pool.News) { s.report(svc, w) },
 		func(e pool.Event) { s.note(svc, e) })
 	s.byName[name] = svc
@@ -97,22 +92,6 @@
 	return list
 }
 
-// slack is this node's part of the fleet's slack of retries for the service.
-func (s *services) slack(service string) float64 {
-	n := s.node
-	all := float64(len(n.members.Live()) + 1)
-	part := otherSlack / all
-	carriers := n.carriers.all(service)
-	if slices.ContainsFunc(carriers, func(m *tlv1.Member) bool { return processOf(m) == n.self }) {
-		part = carrierSlack / float64(max(len(carriers), leastCarriers))
-	}
-	return n.settings().Retries.Slack * part
-}
-
-// leastCarriers is how many nodes the carriers' slack is dealt to at least: a node that sees few
-// others may be cut off, and be one of many such.
-const leastCarriers = 6
-
 // targets returns the targets of all services, as pools take them.
 func (s *services) targets() map[string][]pool.Target {
 	byService := map[string][]pool.Target{}
@@ -271,13 +250,10 @@
 	s.mu.Unlock()
 	s.refreshLoad()
 	s.tellSums()
-	if !changed {
-		return
-	}
-	s.refresh() // a hall may have come or gone
-	s.welcome()
-	for _, svc := range s.all() {
-		svc.pool.Budget().SetSlack(s.slack(svc.name))
+	s.deal()
+	if changed {
+		s.refresh() // a hall may have come or gone
+		s.welcome()
 	}
 }
 
--- /dev/null
+++ b/pool/deal.go
@@ -0,0 +1,35 @@
+package pool
+
+const (
+	// RatioShare is the part of the fleet's ratio of retries that each node uses, of its own requests.
+	RatioShare = 0.93
+	// carrierSlack is the part of the fleet's slack of retries that is dealt to the nodes that carry
+	// a service, and otherSlack the part dealt to all others. What is left is for nodes that hold
+	// different views of who carries it.
+	carrierSlack = 0.45
+	otherSlack   = 0.2
+	// leastCarriers is how many nodes the slack is dealt to at least: a node that sees few others may be
+	// one of many such.
+	leastCarriers = 6
+	// knownShare is the share of the nodes of late that a node must hear to take itself for a carrier:
+	// no two parts of a fleet that is cut have it.
+	knownShare = 0.6
+)
+
+// A View struct is what a node sees of those that share a service's slack of retries with it.
+type View struct {
+	// Carries says that the node is one of so many Carriers of the service.
+	Carries  bool
+	Carriers int
+	// Live nodes are heard now, this one too; Known is the most of them of late.
+	Live, Known int
+}
+
+// SlackShare returns the node's part of the slack. The parts of all nodes are never more than the whole,
+// whoever hears whom, as long as they know how many they were.
+func SlackShare(v View) float64 {
+	if v.Carries && float64(v.Live) >= knownShare*float64(v.Known) {
+		return carrierSlack / float64(max(v.Carriers, leastCarriers))
+	}
+	return otherSlack / float64(max(v.Known, v.Live, leastCarriers))
+}
