Probe nodes of the same hall three times in four; drop what nobody uses

Probes went to all halls alike. Ruled out: slower probes (they find dead nodes); records to the own hall only (the other halls' watchers may be deaf). Gone: TwoWay, the platform's list of VMs as seeds, shards and spreading over halls in assign, none of which the product has used since the node was replaced.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -1,5 +1,5 @@
-// Package assign says which few nodes serve a service, by rendezvous hashing over the live
-// nodes. Every node works it out alone; small differences in view move little work.
+// Package assign ranks nodes for a service or a duty by rendezvous hashing over the live nodes. Every
+// node works it out alone; small differences in view move little work.
 package assign
 
 import (
@@ -11,18 +11,6 @@
 	"github.com/tinladder/tinladder/ident"
 )
 
-// Shards is how many groups keys are put in. The keys of one shard are assigned together, so that
-// a node works out few rankings, however many keys there are. All nodes must agree on it.
-const Shards = 4096
-
-// A Shard is a group of keys, from 0 to Shards-1.
-type Shard uint32
-
-// ShardOf returns the key's shard.
-func ShardOf(key string) Shard {
-	return Shard(xxhash.Sum64String(key) % Shards)
-}
-
 // FullWeight is the weight of a node that takes an ordinary share.
 const FullWeight = 100
 
@@ -69,33 +57,6 @@
 	return -float64(c.Weight) / math.Log(u)
 }
 
-// Spread returns the first n of the ranked candidates, taking each hall once before any hall
-// twice, and so on.
-func Spread(ranked []Candidate, n int) []Candidate {
-	chosen := make([]Candidate, 0, n)
-	used := map[ident.Hall]int{}
-	taken := make([]bool, len(ranked))
-	for round := 1; len(chosen) < n && len(chosen) < len(ranked); round++ {
-		for i, c := range ranked {
-			if len(chosen) == n {
-				break
-			}
-			if taken[i] || used[c.Hall] >= round {
-				continue
-			}
-			taken[i] = true
-			used[c.Hall]++
-			chosen = append(chosen, c)
-		}
-	}
-	return chosen
-}
-
-// Serving returns the n nodes that serve the key.
-func Serving(key string, candidates []Candidate, n int) []Candidate {
-	return Spread(Rank(key, candidates), n)
-}
-
 // Duty returns the place of a node in the ranking for a duty, from 0, or -1 if it has none.
 func Duty(duty string, candidates []Candidate, n ident.Node) int {
 	return slices.IndexFunc(Rank(duty, candidates), func(c Candidate) bool { return c.Node == n })
--- a/member/index.go
+++ b/member/index.go
@@ -10,7 +10,7 @@
 	version uint64
 	made    bool
 	live    []string
-	// strangers are the addresses of seeds, of listed VMs and of gone nodes, that no live node has.
+	// strangers are the addresses of seeds and of gone nodes that no live node has.
 	strangers []string
 }
 
@@ -31,7 +31,7 @@
 			gone = append(gone, m.GetGossipAddress())
 		}
 	}
-	strangers := slices.Concat(t.seeds, t.listed, gone)
+	strangers := slices.Concat(t.seeds, gone)
 	slices.Sort(strangers)
 	t.index.strangers = slices.DeleteFunc(slices.Compact(strangers), func(a string) bool { return known[a] })
 	return &t.index
--- a/member/member.go
+++ b/member/member.go
@@ -18,10 +18,6 @@
 	warned bool
 	// goneAt is when this node first held it gone.
 	goneAt int64
-	// ackedAt is when it last answered a probe directly: both ways work.
-	ackedAt int64
-	// heardAt is when it was last heard, whatever it heard of us.
-	heardAt int64
 }
 
 func stateRank(s tlv1.NodeState) int {
--- a/member/probe.go
+++ b/member/probe.go
@@ -170,18 +170,39 @@
 	return t.message(tlv1.GossipKind_GOSSIP_KIND_PING, t.seq, address)
 }
 
-// nextLive goes through the live nodes in a shuffled round.
+// farProbes is one in how many probes that may go to another hall. Bytes between halls cost more than
+// those within one, and a node's own hall finds its end as well.
+const farProbes = 4
+
+// nextLive goes through the live nodes in a shuffled round, more often through those of this hall.
 func (t *Table) nextLive() string {
+	t.rounds++
+	if t.rounds%farProbes != 0 {
+		if name := t.nextOf(&t.nearOrder, t.inHall); name != "" {
+			return name
+		}
+	}
+	return t.nextOf(&t.order, func(*entry) bool { return true })
+}
+
+// inHall says whether a node is in this one's hall.
+func (t *Table) inHall(e *entry) bool {
+	return e.member.GetHall() == t.self.GetHall()
+}
+
+// nextOf returns the next of the live nodes that keep wants, from an order that is drawn anew when it
+// is used up.
+func (t *Table) nextOf(order *[]string, keep func(e *entry) bool) string {
 	for range 2 {
-		for len(t.order) > 0 {
-			name := t.order[len(t.order)-1]
-			t.order = t.order[:len(t.order)-1]
-			if e := t.entries[name]; e != nil && live(e.member) {
+		for len(*order) > 0 {
+			name := (*order)[len(*order)-1]
+			*order = (*order)[:len(*order)-1]
+			if e := t.entries[name]; e != nil && live(e.member) && keep(e) {
 				return name
 			}
 		}
-		t.order = slices.Clone(t.indexed().live)
-		t.rand.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
+		*order = slices.DeleteFunc(slices.Clone(t.indexed().live), func(name string) bool { return !keep(t.entries[name]) })
+		t.rand.Shuffle(len(*order), func(i, j int) { (*order)[i], (*order)[j] = (*order)[j], (*order)[i] })
 	}
 	return ""
 }
--- a/member/table.go
+++ b/member/table.go
@@ -8,7 +8,6 @@
 	"sync"
 
 	"github.com/tinladder/tinladder/clock"
-	"github.com/tinladder/tinladder/ident"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"google.golang.org/protobuf/proto"
 )
@@ -67,11 +66,13 @@
 	self    *tlv1.Member
 	entries map[string]*entry
 	// unwell names the entries that are suspect or gone.
-	unwell     map[string]bool
-	index      index
-	order      []string
+	unwell map[string]bool
+	index  index
+	order  []string
+	// nearOrder is of the nodes of this hall.
+	nearOrder  []string
+	rounds     uint64
 	seeds      []string
-	listed     []string
 	news       *news
 	seq        uint64
 	probes     map[uint64]probe
@@ -116,14 +117,6 @@
 	t.index.made = false
 }
 
-// SetListed replaces the addresses that the platform's list has.
-func (t *Table) SetListed(addresses []string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.listed = slices.Clone(addresses)
-	t.index.made = false
-}
-
 // Self returns what the node says of itself.
 func (t *Table) Self() *tlv1.Member {
 	t.mu.Lock()
@@ -161,14 +154,6 @@
 	return t.version
 }
 
-// TwoWay says whether the node answered a probe of ours within the time given.
-func (t *Table) TwoWay(n ident.Node, within clock.Millis) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.entries[string(n)]
-	return e != nil && e.ackedAt > 0 && t.clock.Now()-clock.Millis(e.ackedAt) <= within
-}
-
 // Isolated says that the node knows of others, and none has answered it for too long.
 func (t *Table) Isolated() bool {
 	t.mu.Lock()
@@ -242,9 +227,6 @@
 	for _, m := range g.GetMembers() {
 		t.take(m, now)
 	}
-	if e := t.entries[g.GetFrom().GetNode()]; e != nil && g.GetRelayAddress() == "" {
-		e.heardAt = int64(now)
-	}
 	switch g.GetKind() {
 	case tlv1.GossipKind_GOSSIP_KIND_PING:
 		return []Send{t.answer(g)}
@@ -281,16 +263,12 @@
 		s.Gossip.RelayAddress = t.self.GetGossipAddress()
 		return []Send{s}
 	}
-	p, found := t.probes[g.GetSeq()]
-	if !found {
+	if _, found := t.probes[g.GetSeq()]; !found {
 		return nil
 	}
 	delete(t.probes, g.GetSeq())
 	t.slowness = max(t.slowness-1, 0)
 	t.lastAck = now
-	if e := t.entries[g.GetFrom().GetNode()]; e != nil && g.GetRelayAddress() == "" && p.address == e.member.GetGossipAddress() {
-		e.ackedAt = int64(now)
-	}
 	return nil
 }
 
@@ -328,9 +306,6 @@
 		return false
 	}
 	next := &entry{member: proto.CloneOf(m)}
-	if found && e.member.GetIncarnation() == m.GetIncarnation() {
-		next.ackedAt, next.heardAt = e.ackedAt, e.heardAt
-	}
 	t.unwell[m.GetNode()] = m.GetState() != tlv1.NodeState_NODE_STATE_ALIVE
 	if !t.unwell[m.GetNode()] {
 		delete(t.unwell, m.GetNode())
