Give a young process half of its part of the slack, at once

Now half of the part from the start and the whole after one window: 0.65 and 0.325 of the slack are less than the whole, also when all nodes are killed and started again within a window (TestSlackHoldsWhenAllStartAgain). Ruled out: the whole part at once (1.3 of the slack). Node, pool: green.

--- a/node/retries.go
+++ b/node/retries.go
@@ -22,19 +22,17 @@
 	}
 }
 
-// slack is this node's part of the fleet's slack of retries for the service. A process that is young
-// may follow one that has just used its part, so that it gets its own part by and by.
+// slack is this node's part of the fleet's slack of retries for the service.
 func (s *services) slack(service string) float64 {
 	n := s.node
 	live := len(n.members.Live()) + 1
 	carriers := n.carriers.all(service)
-	part := pool.SlackShare(pool.View{
+	r := n.settings().Retries
+	return r.Slack * pool.SlackShare(pool.View{
 		Carries:  slices.ContainsFunc(carriers, func(m *tlv1.Member) bool { return processOf(m) == n.self }),
 		Carriers: len(carriers), Live: live, Known: s.most.see(live, n.clock.Now()),
+		Young: n.clock.Now()-n.duty.since < r.Window.Millis(),
 	})
-	r := n.settings().Retries
-	age := float64(n.clock.Now()-n.duty.since) / float64(max(r.Window.Millis(), 1))
-	return r.Slack * part * min(age, 1)
 }
 
 // A peak is the most of something of late.
--- a/pool/deal.go
+++ b/pool/deal.go
@@ -14,6 +14,9 @@
 	// knownShare is the share of the nodes of late that a node must hear to take itself for a carrier:
 	// no two parts of a fleet that is cut have it.
 	knownShare = 0.6
+	// youngShare is the part of its share that a process has in its first window: all nodes may be
+	// killed and started again within one, and 0.65 and half of it are still less than the whole.
+	youngShare = 0.5
 )
 
 // A View struct is what a node sees of those that share a service's slack of retries with it.
@@ -21,15 +24,23 @@
 	// Carries says that the node is one of so many Carriers of the service.
 	Carries  bool
 	Carriers int
+	// Young nodes have run for less than the window: they may follow a process that has just used its
+	// part.
+	Young bool
 	// Live nodes are heard now, this one too; Known is the most of them of late.
 	Live, Known int
 }
 
 // SlackShare returns the node's part of the slack. The parts of all nodes are never more than the whole,
-// whoever hears whom, as long as they know how many they were.
+// whoever hears whom, as long as they know how many they were, and not if all are started again once in
+// a window either.
 func SlackShare(v View) float64 {
+	share := otherSlack / float64(max(v.Known, v.Live, leastCarriers))
 	if v.Carries && float64(v.Live) >= knownShare*float64(v.Known) {
-		return carrierSlack / float64(max(v.Carriers, leastCarriers))
+		share = carrierSlack / float64(max(v.Carriers, leastCarriers))
 	}
-	return otherSlack / float64(max(v.Known, v.Live, leastCarriers))
+	if v.Young {
+		share *= youngShare
+	}
+	return share
 }
--- a/pool/deal_test.go
+++ b/pool/deal_test.go
@@ -30,6 +30,23 @@
 	}
 }
 
+// TestSlackHoldsWhenAllStartAgain has all nodes of a fleet use their parts, be killed, and use them again
+// within one window.
+func TestSlackHoldsWhenAllStartAgain(t *testing.T) {
+	for _, nodes := range []int{1, 2, 6, 44, 200} {
+		sum := 0.0
+		for i := range nodes {
+			v := pool.View{Carries: i < 6, Carriers: min(nodes, 6), Live: nodes, Known: nodes}
+			sum += pool.SlackShare(v)
+			v.Young = true
+			sum += pool.SlackShare(v)
+		}
+		if sum > 1 {
+			t.Errorf("%d nodes have %.2f of the slack", nodes, sum)
+		}
+	}
+}
+
 // TestMostOfTheSlackIsWithCarriers is about a fleet that is whole.
 func TestMostOfTheSlackIsWithCarriers(t *testing.T) {
 	carrier := pool.SlackShare(pool.View{Carries: true, Carriers: 6, Live: 44, Known: 44})
