--- a/node/front.go
+++ b/node/front.go
@@ -42,6 +42,10 @@
 		n.refuse(w, r, Problem{Status: http.StatusNotFound, Detail: "no route"})
 		return
 	}
+	if t.Limits.HeaderBytes > 0 && headerBytes(r) > t.Limits.HeaderBytes {
+		n.refuse(w, r, Problem{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "the header is too large"})
+		return
+	}
 	if t.Limits.BodyBytes > 0 {
 		if r.ContentLength > t.Limits.BodyBytes {
 			n.refuse(w, r, Problem{Status: http.StatusRequestEntityTooLarge, Detail: "the body is too large"})
@@ -52,6 +56,18 @@
 	newExchange(n, w, r, route, n.platform.Speech.Headers).serve(noTicket{})
 }
 
+// headerBytes is the size of a request's line and header as it was sent.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n")
+	n += len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(": \r\n") + len(v)
+		}
+	}
+	return n
+}
+
 // refuse answers a request that leads nowhere.
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, p Problem) {
 	if p.Outcome == "" {
--- a/node/request_test.go
+++ b/node/request_test.go
@@ -268,6 +268,28 @@
 	is.Equal(len(target.Seen()[0].Body), 1<<20)
 }
 
+// TestHeaderLimitOfTheDesiredState sends headers just below and above the bound of 16 KB.
+func TestHeaderLimitOfTheDesiredState(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	target := f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	for _, c := range []struct{ bytes, status, ran int }{{16_000, http.StatusOK, 1}, {17_000, http.StatusRequestHeaderFieldsTooLarge, 0}} {
+		id := fmt.Sprint("h", c.bytes)
+		req, err := http.NewRequest(http.MethodGet, "http://"+f.nodes[0].callers+"/get/", nil)
+		is.NoErr(err)
+		req.Host = "shop"
+		req.Header.Set("X-Request-Id", id)
+		req.Header.Set("X-Pad", strings.Repeat("x", c.bytes))
+		res, err := f.http.Do(req)
+		is.NoErr(err)
+		_ = res.Body.Close()
+		is.Equal(res.StatusCode, c.status)
+		is.Equal(ran(id, target), c.ran)
+	}
+}
+
 // TestIdleTimeFollowsTheState lets a caller's connection rest under one bound, and another.
 func TestIdleTimeFollowsTheState(t *testing.T) {
 	is := is.New(t)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -132,7 +132,7 @@
 const (
 	defaultRequests    = 4096
 	defaultBodyBytes   = 64 << 20
-	defaultHeaderBytes = 32 << 10
+	defaultHeaderBytes = 256 << 10
 	defaultApply       = 2 * clock.Second
 	defaultGrace       = 6 * clock.Second
 	defaultLeave       = 2 * clock.Second
--- a/trace/story.go
+++ b/trace/story.go
@@ -16,6 +16,7 @@
 	requestRefused = "request_refused"
 	targetAvoided  = "target_avoided"
 	targetLeft     = "target_left"
+	started        = "started"
 )
 
 // beliefBefore and beliefAfter are how far around an attempt the log is searched for what was
@@ -111,7 +112,21 @@
 	case requestFailed:
 		return end.Get("cause"), sayFailed(end) + sayAttempts(attempts, all)
 	}
-	return "open", "No line says how it ended; the node may have ended before it did." + sayAttempts(attempts, all)
+	return "open", "No line says how it ended" + sayRestart(end, all) + sayAttempts(attempts, all)
+}
+
+// restartWithin is how long after a request's last line its node's next process is looked for.
+const restartWithin = 30 * clock.Second
+
+// sayRestart says whether a request's node ended with it.
+func sayRestart(last *Line, all []*Line) string {
+	for _, l := range all {
+		after := l.At.Sub(last.At)
+		if l.Event == started && l.Source == last.Source && after > 0 && after < restartWithin.Duration() {
+			return fmt.Sprintf(": the node's next process started %d ms later, so the one that had it was stopped or killed. It may have run.", after.Milliseconds())
+		}
+	}
+	return "; the node may have ended before it did."
 }
 
 // sayFailed says why a request was not served.
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -21,6 +21,8 @@
 time="2026-12-02T03:00:05Z" level=info event=requests service=desk served=17 failed=2
 time="2026-12-02T03:00:06Z" level=warning event=log_lines_dropped lines=40
 time="2026-12-02T03:00:07Z" level=info event=request_served request=ee service=desk status=200 ms=9
+n3 | time="2026-12-02T03:00:08Z" level=warning event=attempt_failed request=ff service=desk target=i-2 outcome=failed status=500 ms=3 failing=0.02 known_ms=-1 load=1/3 why=best
+n3 | time="2026-12-02T03:00:09Z" level=warning event=started node=n3
 `
 
 func read(t *testing.T) (lines []*trace.Line) {
@@ -40,6 +42,7 @@
 		{"bb", "queue", 1, []string{"has not run", "come back in 700 ms"}},
 		{"dd", "refused", 1, []string{"no route", "version 12", "has not run"}},
 		{"ee", "served", 1, []string{"status 200"}},
+		{"ff", "open", 1, []string{"next process started 1000 ms later", "nothing was known of it"}},
 		{"zz", "", 0, []string{"No line names"}},
 	}
 	for _, c := range cases {
