Make the soak harsher and its checks sharper; split pool; the platform's names out of the tests

Now a fault begins every 0.4 s on average, some strike part or all of a service's targets, store trouble excuses only what hangs on the store, and new work for leaving targets is traced to the node that took the request.

--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/tinladder/tinladder/emulate"
 	"github.com/tinladder/tinladder/logs"
 	"github.com/tinladder/tinladder/node"
+	"github.com/tinladder/tinladder/platform"
 	"github.com/tinladder/tinladder/platform/standin"
 	"github.com/tinladder/tinladder/settings"
 )
@@ -173,7 +174,7 @@
 	for _, n := range f.nodes {
 		f.eventually(n.name+" is ready", func() bool {
 			text := n.log.String()
-			return f.status(n.readiness, "/api/ready") == http.StatusOK &&
+			return f.status(n.readiness, platform.ReadyPath) == http.StatusOK &&
 				strings.Contains(text, fmt.Sprintf("event=state_in_force from=")) && strings.Contains(text, fmt.Sprintf("version=%d\n", version)) &&
 				strings.Count(text, "event=target_record") >= targets
 		})
@@ -223,7 +224,7 @@
 	req.Host = "shop"
 	req.GetBody = nil // keep the client from sending it twice
 	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline))
+	req.Header.Set(platform.Headers().Deadline, fmt.Sprint(deadline))
 	start := time.Now()
 	res, err := f.http.Do(req)
 	if err != nil {
@@ -246,3 +247,9 @@
 	}
 	return count
 }
+
+// rawGet is a repeatable request as it is written on a connection.
+func rawGet(id string) string {
+	h := platform.Headers()
+	return fmt.Sprintf("GET /get/ HTTP/1.1\r\nHost: shop\r\n%s: %s\r\n%s: 3000\r\n\r\n", h.RequestID, id, h.Deadline)
+}
--- a/node/leave_test.go
+++ b/node/leave_test.go
@@ -10,12 +10,13 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/platform"
 	"github.com/tinladder/tinladder/platform/standin"
 )
 
 // resolve asks a node which addresses callers should use.
 func (f *fleet) resolve(n *testNode, hall string) []string {
-	res, err := f.http.Get("http://" + n.directory + "/api/resolve?name=shop&region=r&zone=" + hall)
+	res, err := f.http.Get("http://" + n.directory + platform.ResolvePath + "?name=shop&region=r&zone=" + hall)
 	if err != nil {
 		return nil
 	}
@@ -73,7 +74,7 @@
 	time.Sleep(400 * time.Millisecond)
 	n.stop()
 	start := time.Now()
-	f.eventually("it is not ready", func() bool { return f.status(n.readiness, "/api/ready") != http.StatusOK })
+	f.eventually("it is not ready", func() bool { return f.status(n.readiness, platform.ReadyPath) != http.StatusOK })
 	is.True(time.Since(start) < 200*time.Millisecond)
 	f.eventually("the directory leaves it out", func() bool { return !slices.Contains(f.resolve(f.nodes[0], "h2"), n.callers) })
 	is.True(time.Since(start) < 500*time.Millisecond)
--- a/node/request_test.go
+++ b/node/request_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/platform"
 	"github.com/tinladder/tinladder/platform/standin"
 )
 
@@ -22,7 +23,7 @@
 	r := f.call(f.nodes[0], http.MethodPost, "/get/a%2Fb?x=1&y=%20", "id-1", "the body")
 	is.Equal(r.status, http.StatusOK)
 	is.Equal(r.body, "answer to id-1")
-	is.Equal(r.header.Get("X-Upstream-Signature"), "id-1")
+	is.Equal(r.header.Get(standin.Signature), "id-1")
 	is.Equal(r.header.Get("X-Request-Id"), "id-1")
 	seen := target.Seen()
 	is.Equal(len(seen), 1)
@@ -40,7 +41,7 @@
 	r := f.call(n, http.MethodGet, "/get/1", "early", "")
 	is.Equal(r.status, http.StatusServiceUnavailable) // no desired state yet
 	is.True(r.header.Get("Retry-After") != "")
-	is.Equal(f.status(n.readiness, "/api/ready"), http.StatusServiceUnavailable)
+	is.Equal(f.status(n.readiness, platform.ReadyPath), http.StatusServiceUnavailable)
 
 	desk, clerk := f.target("i-1", "desk"), f.target("i-2", "clerk")
 	f.store.Configure(2, []string{"desk", "clerk"}, route("/", standin.Repeatable, "desk"), route("/deep/", standin.Repeatable, "clerk"))
@@ -168,7 +169,7 @@
 				mu.Lock()
 				if r.status == http.StatusOK && !r.broken {
 					served++
-					if r.body != "answer to "+id || r.header.Get("X-Upstream-Signature") != id {
+					if r.body != "answer to "+id || r.header.Get(standin.Signature) != id {
 						crossed = append(crossed, id+" got "+r.body)
 					}
 				}
@@ -243,7 +244,7 @@
 	target.SetFaults(standin.TargetFaults{Hang: 1})
 	c, err := net.Dial("tcp", f.nodes[0].callers)
 	is.NoErr(err)
-	_, err = fmt.Fprintf(c, "GET /get/ HTTP/1.1\r\nHost: shop\r\nX-Request-Id: gone\r\nX-Deadline-Ms: 3000\r\n\r\n")
+	_, err = fmt.Fprint(c, rawGet("gone"))
 	is.NoErr(err)
 	f.eventually("the target has it", func() bool { return ran("gone", target) == 1 })
 	is.NoErr(c.Close())
@@ -307,7 +308,7 @@
 	idle(4, "200ms")
 	buf := make([]byte, 4096)
 	for range 2 {
-		_, err = fmt.Fprintf(c, "GET /get/ HTTP/1.1\r\nHost: shop\r\nX-Request-Id: x\r\nX-Deadline-Ms: 3000\r\n\r\n")
+		_, err = fmt.Fprint(c, rawGet("x"))
 		is.NoErr(err)
 		_, err = c.Read(buf)
 		is.NoErr(err)
--- /dev/null
+++ b/pool/lease.go
@@ -0,0 +1,165 @@
+package pool
+
+import (
+	"github.com/tinladder/tinladder/belief"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/ident"
+)
+
+// A Lease struct is one request at one target.
+type Lease struct {
+	pool   *Pool
+	target *target
+	// Target and Address name the target.
+	Target  ident.Target
+	Address string
+	// Why says why the target was chosen, and Failing how likely it was thought to be failing.
+	Why     Reason
+	Failing float64
+	// KnownAge is how old the last evidence on the target was; -1 if there was none.
+	KnownAge clock.Millis
+	// Next names the target that would have been chosen otherwise, and NextFailing how likely it was
+	// thought to be failing.
+	Next        ident.Target
+	NextFailing float64
+	// InFlight is what all nodes were thought to have at the target, this request too, of Slots.
+	InFlight, Slots int
+	from            clock.Millis
+	far, done       bool
+}
+
+func (p *Pool) lease(c choice, now clock.Millis) *Lease {
+	t := c.target
+	m := &p.tuning.Model
+	l := &Lease{
+		pool: p, target: t, Target: t.ID, Address: t.Address, Why: c.why, from: now, far: !t.Near,
+		Failing: t.belief.Failing(m, now), KnownAge: clock.Millis(age(t.knownAt, now)),
+	}
+	if c.next != nil {
+		l.Next, l.NextFailing = c.next.ID, c.next.belief.Failing(m, now)
+	}
+	t.mine++
+	t.used, t.usedAt = true, now
+	t.changed = true
+	l.InFlight, l.Slots = p.inFlight(t, now), t.Slots
+	return l
+}
+
+// Usual is how long a request usually takes at the service's targets.
+func (l *Lease) Usual() clock.Millis {
+	return l.pool.Usual()
+}
+
+// Usual is how long a request usually takes at a target.
+func (p *Pool) Usual() clock.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return clock.Millis(p.serviceTime)
+}
+
+// Done tells how the attempt ended. Only the first call counts. Closing says that the target
+// closes the connection.
+func (l *Lease) Done(o Outcome, closing bool) {
+	p := l.pool
+	p.mu.Lock()
+	if l.done {
+		p.mu.Unlock()
+		return
+	}
+	l.done = true
+	l.target.mine--
+	l.target.changed = true
+	urgent := p.learn(l, o, closing)
+	grants := p.grantWaiting()
+	events := p.takeEvents()
+	p.mu.Unlock()
+	call(grants)
+	p.tellAll(events)
+	p.changed(l.news(urgent))
+}
+
+// news says who should hear of the lease's begin or end.
+func (l *Lease) news(evidence bool) News {
+	switch {
+	case evidence:
+		return Evidence
+	case l.far:
+		return LoadFar
+	}
+	return LoadNear
+}
+
+// learn takes in how an attempt ended, and says whether other nodes should know at once.
+func (p *Pool) learn(l *Lease, o Outcome, closing bool) (urgent bool) {
+	now := p.clock.Now()
+	t := l.target
+	m := &p.tuning.Model
+	switch o {
+	case Good:
+		urgent = t.belief.Failing(m, now) > suspect
+		p.believe(t, "", now, func(b *belief.Belief) { b.Good(m, now) })
+		t.okAt, t.blocks, t.blockedUntil = now, 0, 0
+		p.serviceTime += (float64(now-l.from) - p.serviceTime) / smoothing
+	case Failed, Silent:
+		p.believe(t, "", now, func(b *belief.Belief) { b.Failed(m, now) })
+		t.failedAt = now
+		t.failures++
+		urgent = true
+	case Late:
+		p.believe(t, "", now, func(b *belief.Belief) { b.Late(m, now) })
+		t.lateAt = now
+		t.lates++
+		urgent = true
+	case Unreachable:
+		t.blocks++
+		p.note(Event{Kind: TargetUnreachable, Target: t.ID, Failing: t.belief.Failing(m, now)})
+		t.blockedUntil = now + p.tuning.UnreachableFor*clock.Millis(min(t.blocks, maxBlocks))
+	case Replaced:
+		p.leave(t, "", now)
+		urgent = true
+	}
+	if o == Good || o == Failed {
+		urgent = p.noteClosing(t, closing, now) || urgent
+	}
+	return urgent
+}
+
+// noteClosing counts answers in a row that close their connection: a target that is leaving says
+// so in all of them, others in one now and then.
+func (p *Pool) noteClosing(t *target, closing bool, now clock.Millis) bool {
+	if !closing {
+		t.closings = 0
+		return false
+	}
+	t.closings++
+	if t.closings >= leavingClosings && !t.left {
+		p.leave(t, "", now)
+		return true
+	}
+	return false
+}
+
+// leave notes that the target itself said that it is leaving.
+func (p *Pool) leave(t *target, by ident.Node, now clock.Millis) {
+	if t.left {
+		return
+	}
+	t.left = true
+	p.note(Event{Kind: TargetLeft, Target: t.ID, Failing: t.belief.Failing(&p.tuning.Model, now), By: by})
+}
+
+const (
+	// avoidAbove and returnBelow are how likely a target must be failing to be avoided, and not to be
+	// avoided any more.
+	avoidAbove  = 0.5
+	returnBelow = 0.3
+	// suspect is how likely a target must have been failing for its return to be news.
+	suspect = 0.25
+	// smoothing is the part of a new service time in the running mean, 1/16.
+	smoothing = 16
+	// maxBlocks bounds how much longer a target is passed over each time.
+	maxBlocks = 4
+	// leavingClosings is how many answers in a row must close their connections for the target to
+	// be taken as leaving.
+	leavingClosings = 3
+)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/tinladder/tinladder/platform"
+	"github.com/tinladder/tinladder/platform/standin"
 )
 
 const (
@@ -165,13 +166,10 @@
 	if err != nil {
 		return false
 	}
-	s.status, s.body, s.mark = res.StatusCode, string(body), res.Header.Get(signature)
+	s.status, s.body, s.mark = res.StatusCode, string(body), res.Header.Get(standin.Signature)
 	return !res.Close && !strings.EqualFold(res.Header.Get("Connection"), "close")
 }
 
-// signature is on answers of targets.
-const signature = "X-Upstream-Signature"
-
 // String tells of the request, for reports.
 func (s *sent) String() string {
 	return fmt.Sprintf("request %s to %s%s at %s: status %s after %s",
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -138,7 +138,7 @@
 
 // checkCut: a planned stop cuts no request that a target has, or that was sent long before its end.
 func (o *oracle) checkCut(s *sent, runs int) {
-	if !s.unread || !s.written || s.node.disturbed(s.at.Add(-contact), s.end) || !s.node.stopping(s.at, s.end) {
+	if !s.unread || !s.written || s.node.struck(s.at.Add(-contact), s.end) || !s.node.stopping(s.at, s.end) {
 		return
 	}
 	if late := s.end.Sub(s.at); late < answerBound && (runs > 0 || late > lossSlack+machineSlack) {
@@ -149,32 +149,28 @@
 // checkTime: a node that runs answers within the route's time.
 func (o *oracle) checkTime(s *sent) {
 	took := s.end.Sub(s.at)
-	if took > routeTimeout+500*time.Millisecond+machineSlack && !s.node.disturbed(s.at.Add(-contact), s.end) && !s.node.stopping(s.at, s.end) {
+	if took > routeTimeout+500*time.Millisecond+machineSlack && !s.node.struck(s.at.Add(-contact), s.end) && !s.node.stopping(s.at, s.end) {
 		o.breach("time", "%s", s)
 	}
 }
 
-// inTouch says whether all nodes and their ways to the store were well throughout the time.
-func (o *oracle) inTouch(from, to time.Time) bool {
-	for _, p := range o.world.nodes {
-		if p.disturbed(from, to) || p.stopping(from, to) {
-			return false
-		}
-	}
-	return true
-}
-
-// checkLeaving: a target that is known to be leaving gets no new work. Targets cannot tell nodes
-// apart, so this holds at times when all are in touch.
+// checkLeaving: a target that is known to be leaving gets no new work from nodes in touch.
 func (o *oracle) checkLeaving() {
+	nodes := map[string]*process{}
+	for _, s := range o.sent {
+		nodes[s.id] = s.node
+	}
+	for _, p := range o.probes {
+		nodes[p.id] = p.node
+	}
 	for _, t := range o.world.all() {
-		bound := t.leftAt.Add(drainTimeout + machineSlack)
-		if t.leftAt.IsZero() || !o.inTouch(t.leftAt.Add(-contact), bound) {
+		if t.leftAt.IsZero() {
 			continue
 		}
 		for _, x := range t.Seen() {
-			if x.At.After(bound) {
-				o.breach("leaving", "target %s got request %s %s after it left", t.ID, x.ID, x.At.Sub(t.leftAt))
+			late := x.At.Sub(t.leftAt)
+			if p := nodes[x.ID]; p != nil && late > drainTimeout+machineSlack && p.inTouch(t.leftAt.Add(-contact), x.At) {
+				o.breach("leaving", "target %s got request %s of %s %s after it left", t.ID, x.ID, p.name, late)
 			}
 		}
 	}
@@ -256,7 +252,7 @@
 		case unknown && newest[l] >= p.version && o.world.versionAt(p.end) <= p.version+1:
 			o.breach("no way back", "%s, version %d, after version %d was in force", p.sent, p.version, newest[l])
 		case unknown && p.at.Sub(acked) > configApply+machineSlack && o.world.versionAt(p.end) <= p.version+1 &&
-			!p.node.disturbed(acked.Add(-contact), p.end) && !p.node.stopping(acked.Add(-contact), p.end):
+			p.node.inTouch(acked.Add(-contact), p.end):
 			o.breach("in force", "%s, version %d, %s after it was taken", p.sent, p.version, p.at.Sub(acked))
 		case !unknown && p.status != 0 && p.status != http.StatusServiceUnavailable:
 			newest[l] = max(newest[l], p.version)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -18,7 +18,7 @@
 }
 
 // pauseMost is the longest between the begins of two faults, so that they overlap.
-const pauseMost = 1500 * time.Millisecond
+const pauseMost = 800 * time.Millisecond
 
 // strike brings faults about, in series and at once, until none may begin any more, and waits for
 // the last to be over.
@@ -58,6 +58,7 @@
 	{"changes in a row", changes},
 	{"gray target", grayTarget},
 	{"target breaks answers", breakAnswers},
+	{"service fails", failService},
 	{"target leaves", leaveTarget},
 	{"target crashes", crashTarget},
 	{"target joins", joinTarget},
@@ -173,7 +174,7 @@
 func (w *world) storeFault(nodes []*process, f standin.Faults, d time.Duration) {
 	var ends []func()
 	for _, p := range nodes {
-		ends = append(ends, p.hurting())
+		ends = append(ends, p.deafened())
 		p.door.SetFaults(f)
 	}
 	time.Sleep(d)
@@ -229,24 +230,50 @@
 	return list[r.IntN(len(list))]
 }
 
-func (w *world) targetFault(r *rand.Rand, f standin.TargetFaults, say func(string, ...any)) {
-	t, d := w.someTarget(r), between(r, time.Second, 4*time.Second)
-	say("%s %+v for %s", t.ID, f, d)
-	t.SetFaults(f)
+// ofService returns the targets of one service that have not left.
+func (w *world) ofService(service string) (list []*backend) {
+	for _, t := range w.all() {
+		w.mu.Lock()
+		if t.Service == service && t.leftAt.IsZero() {
+			list = append(list, t)
+		}
+		w.mu.Unlock()
+	}
+	return list
+}
+
+// targetFault strikes some of a service's targets.
+func (w *world) targetFault(r *rand.Rand, f standin.TargetFaults, share float64, say func(string, ...any)) {
+	service, d := services[r.IntN(len(services))], between(r, time.Second, 4*time.Second)
+	list := w.ofService(service)
+	if len(list) == 0 {
+		return
+	}
+	count := max(int(share*float64(len(list))), 1)
+	say("%d of %s %+v for %s", count, service, f, d)
+	for _, i := range r.Perm(len(list))[:count] {
+		t := list[i]
+		t.SetFaults(f)
+		defer t.SetFaults(standin.TargetFaults{})
+	}
 	time.Sleep(d)
-	t.SetFaults(standin.TargetFaults{})
 }
 
 func grayTarget(w *world, r *rand.Rand, say func(string, ...any)) {
 	w.targetFault(r, []standin.TargetFaults{
 		{Fail: 0.9}, {Fail: 0.4}, {Hang: 0.5}, {Lose: 0.5}, {Shed: 1}, {Slow: 6}, {Vague: 0.5},
-	}[r.IntN(7)], say)
+	}[r.IntN(7)], r.Float64()/2, say)
 }
 
 func breakAnswers(w *world, r *rand.Rand, say func(string, ...any)) {
 	w.targetFault(r, []standin.TargetFaults{
 		{Cut: 0.4}, {Garbage: 0.4}, {Extra: 0.4}, {Late: 0.4}, {Unframed: 0.4}, {Early: true}, {Closing: true},
-	}[r.IntN(7)], say)
+	}[r.IntN(7)], r.Float64()/2, say)
+}
+
+// failService has all targets of a service fail most requests.
+func failService(w *world, r *rand.Rand, say func(string, ...any)) {
+	w.targetFault(r, []standin.TargetFaults{{Fail: 0.8}, {Shed: 0.8}, {Vague: 0.8}, {Lose: 0.8}}[r.IntN(4)], 1, say)
 }
 
 // leaveTarget has a target say that it leaves, serve on for long, and go; another comes.
--- a/soak/world.go
+++ b/soak/world.go
@@ -48,17 +48,25 @@
 	cmd *exec.Cmd
 	// life counts the processes that ran in this place.
 	life int
-	// hurt are the times at which faults struck it, planned those of planned stops.
-	hurt, planned []span
+	// hurt are the times at which faults struck it, deaf those at which it did not reach the store, and
+	// planned those of planned stops.
+	hurt, deaf, planned []span
 }
 
-// disturbed says whether a fault struck the node within the time, or goes on.
-func (p *process) disturbed(from, to time.Time) bool {
+// struck says whether a fault struck the node itself within the time, or goes on.
+func (p *process) struck(from, to time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return overlaps(p.hurt, from, to)
 }
 
+// inTouch says whether the node ran and reached the store throughout the time.
+func (p *process) inTouch(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !overlaps(p.hurt, from, to) && !overlaps(p.deaf, from, to) && !overlaps(p.planned, from, to)
+}
+
 // stopping says whether a planned stop of the node fell into the time.
 func (p *process) stopping(from, to time.Time) bool {
 	p.mu.Lock()
@@ -75,10 +83,11 @@
 	return false
 }
 
-// hurting notes that a fault strikes the node until the returned function is called, and stops that it
-// is stopped as planned.
-func (p *process) hurting() (end func()) { return p.during(&p.hurt) }
-func (p *process) stops() (end func())   { return p.during(&p.planned) }
+// hurting notes that a fault strikes the node until the returned function is called, deafened that it
+// does not reach the store, and stops that it is stopped as planned.
+func (p *process) hurting() (end func())  { return p.during(&p.hurt) }
+func (p *process) deafened() (end func()) { return p.during(&p.deaf) }
+func (p *process) stops() (end func())    { return p.during(&p.planned) }
 
 func (p *process) during(list *[]span) (end func()) {
 	p.mu.Lock()
