--- a/node/account.go
+++ b/node/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 
@@ -59,7 +60,7 @@
 	n := x.node
 	now := n.clock.Now()
 	took := now - x.began
-	x.service.pool.Ended(c == "" || status == 0)
+	x.service.pool.Ended(endOf(c, status))
 	n.metrics.ended(x.route.Repeatable, status, c, took)
 	if c == "" {
 		x.tellServed(status, took, now)
@@ -74,6 +75,17 @@
 	}).Warn()
 }
 
+// endOf says how a request counts for its service.
+func endOf(c cause, status int) pool.End {
+	switch {
+	case c == "" || status == 0:
+		return pool.Served
+	case status == http.StatusGatewayTimeout:
+		return pool.TimedOut
+	}
+	return pool.Unserved
+}
+
 // tellServed tells of one served request a second of each service, and of those that took more than
 // one attempt.
 func (x *exchange) tellServed(status int, took, now clock.Millis) {
--- a/node/services.go
+++ b/node/services.go
@@ -290,7 +290,7 @@
 		r := svc.pool.Report(true)
 		s.sign(svc, r)
 		for part := range slices.Chunk(r.GetSeen(), seenPerParcel) {
-			one := &tlv1.Report{Node: r.Node, Incarnation: r.Incarnation, Seq: r.Seq, Service: r.Service, Seen: part, Asked: r.Asked, Unserved: r.Unserved}
+			one := &tlv1.Report{Node: r.Node, Incarnation: r.Incarnation, Seq: r.Seq, Service: r.Service, Seen: part, Asked: r.Asked, Unserved: r.Unserved, Failed: r.Failed}
 			n := gossipAddresses(fresh, func(*tlv1.Member) bool { return true })
 			s.node.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Report{Report: one}}, n...)
 		}
--- a/pool/explore.go
+++ b/pool/explore.go
@@ -1,19 +1,22 @@
 package pool
 
 import (
+	"math"
 	"slices"
 
 	"github.com/tinladder/tinladder/clock"
 )
 
-// A tally counts requests that ended, and those that got no good answer.
+// A tally counts requests that ended, those that got no good answer, and those of them that did not
+// just run out of time.
 type tally struct {
-	asked, unserved int
+	asked, unserved, failed int
 }
 
 func (t *tally) add(o tally) {
 	t.asked += o.asked
 	t.unserved += o.unserved
+	t.failed += o.failed
 }
 
 // windowParts is how finely a window moves on.
@@ -39,13 +42,16 @@
 	w.last = max(w.last, n)
 }
 
-func (w *window) count(now clock.Millis, served bool) {
+func (w *window) count(now clock.Millis, e End) {
 	w.turn(now)
 	t := &w.parts[w.last%windowParts]
 	t.asked++
-	if !served {
+	if e != Served {
 		t.unserved++
 	}
+	if e == Unserved {
+		t.failed++
+	}
 }
 
 func (w *window) sum(now clock.Millis) (s tally) {
@@ -56,19 +62,28 @@
 	return s
 }
 
-// Ended tells how a request ended: whether its caller got a good answer.
-func (p *Pool) Ended(served bool) {
+// An End says how a request ended.
+type End int
+
+// Ends of requests.
+const (
+	// Served requests got a good answer, or lost their caller.
+	Served End = iota
+	// TimedOut requests ran out of time at a target.
+	TimedOut
+	// Unserved requests failed otherwise, or were refused.
+	Unserved
+)
+
+// Ended tells how a request ended.
+func (p *Pool) Ended(e End) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ended.count(p.clock.Now(), served)
+	p.ended.count(p.clock.Now(), e)
 }
 
-// minTroubled is the fewest requests that say anything.
-const minTroubled = 10
-
-// troubled says whether so many requests of the service fail, over the nodes that are heard, that
-// all sound targets must be given work.
-func (p *Pool) troubled(now clock.Millis) bool {
+// lately counts the requests of late, over the nodes that are heard.
+func (p *Pool) lately(now clock.Millis) tally {
 	s := p.ended.sum(now)
 	for from, o := range p.peerEnded {
 		if now-o.at <= p.tuning.PeerAge {
@@ -77,9 +92,26 @@
 			delete(p.peerEnded, from)
 		}
 	}
-	return s.asked >= minTroubled && float64(s.unserved) > p.tuning.TroubleShare*float64(s.asked)
+	return s
 }
 
+// trouble says whether so many requests of the service get no good answer that targets that may well
+// be sound must be given work, and whether it is deep: so many fail that the floor is at stake. Requests
+// that ran out of time do not make it deep: some take longer than their route allows, wherever they go.
+func (p *Pool) trouble(now clock.Millis) (some, deep bool) {
+	s := p.lately(now)
+	some = s.asked >= minTroubled && float64(s.unserved) > p.tuning.TroubleShare*float64(s.asked)
+	share, asked := p.tuning.FloorShare, float64(s.asked)
+	deep = float64(s.failed) > share*asked+deviations*math.Sqrt(share*(1-share)*asked)
+	return some, deep
+}
+
+// minTroubled is the fewest requests that say anything.
+const minTroubled = 10
+
+// deviations is how far above the share failures must be, in standard deviations, not to be chance.
+const deviations = 2
+
 // A Reason says why a target was chosen.
 type Reason int
 
@@ -105,12 +137,13 @@
 // explore returns a target that should be tried since too little is known of it, or nil. Only
 // targets of this node's part are tried, so that the halls do not all try the same.
 func (p *Pool) explore(a *Ask, now clock.Millis) (best *target, why Reason) {
-	spread, short := p.troubled(now) && p.narrow(now), p.short(now)
+	some, deep := p.trouble(now)
+	spread, short := some && p.narrow(deep, now), p.short(now)
 	for _, t := range p.order {
 		if !t.Ours || !p.usable(t, now) || slices.Contains(a.Not, t.ID) || p.inFlight(t, now) >= t.Slots {
 			continue
 		}
-		r := p.due(t, a, spread, short, now)
+		r := p.due(t, a, spread, deep, short, now)
 		if r != Best && (best == nil || p.sooner(t, best, now)) {
 			best, why = t, r
 		}
@@ -119,7 +152,7 @@
 }
 
 // due says why the request should try the target, or Best if it should not.
-func (p *Pool) due(t *target, a *Ask, spread, short bool, now clock.Millis) Reason {
+func (p *Pool) due(t *target, a *Ask, spread, deep, short bool, now clock.Millis) Reason {
 	if t.usedAt == 0 && t.joined {
 		if now-t.known > p.tuning.JoinWait {
 			return Joined
@@ -130,7 +163,7 @@
 	switch {
 	case a.Repeatable && len(a.Not) == 0 && idle > p.tuning.ExploreIdle && p.budget.Left() > spareAttempts:
 		return Idle
-	case spread && idle > p.tuning.TroubleIdle && failing < p.tuning.TroubleBelow:
+	case spread && idle > p.tuning.TroubleIdle && p.mayBeSound(t, deep, now):
 		return Spread
 	case short && failing >= p.tuning.KnownBelow && failing < p.tuning.TroubleBelow && p.inFlight(t, now) == 0:
 		return Spare
@@ -138,11 +171,17 @@
 	return Best
 }
 
+// mayBeSound says whether the target counts as one that must be given work while the service is in
+// trouble. In deep trouble only a failure of just now speaks against it, whatever is believed.
+func (p *Pool) mayBeSound(t *target, deep bool, now clock.Millis) bool {
+	return t.belief.Failing(&p.tuning.Model, now) < p.tuning.TroubleBelow || deep && now-t.lastFailed > p.tuning.SoundAgain
+}
+
 // narrow says whether too few of the targets that may well be sound were given work of late.
-func (p *Pool) narrow(now clock.Millis) bool {
+func (p *Pool) narrow(deep bool, now clock.Millis) bool {
 	used, sound := 0, 0
 	for _, t := range p.order {
-		if !t.Ours || !p.usable(t, now) || t.belief.Failing(&p.tuning.Model, now) >= p.tuning.TroubleBelow {
+		if !t.Ours || !p.usable(t, now) || !p.mayBeSound(t, deep, now) {
 			continue
 		}
 		sound++
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -102,7 +102,7 @@
 		p.serviceTime += (float64(now-l.from) - p.serviceTime) / smoothing
 	case Failed, Silent:
 		p.believe(t, "", now, func(b *belief.Belief) { b.Failed(m, now) })
-		t.failedAt = now
+		t.failedAt, t.lastFailed = now, now
 		t.failures++
 		urgent = true
 	case Late:
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -107,6 +107,11 @@
 	// on a service is in trouble.
 	TroubleShare  float64
 	TroubleWindow clock.Millis
+	// FloorShare is somewhat less than the share of failures, a tenth, from which on the platform holds
+	// the service to its floor: a target that failed counts as sound again after SoundAgain (2 s there),
+	// and must be given work.
+	FloorShare float64
+	SoundAgain clock.Millis
 	// FirstServiceTime is assumed until answers have been seen.
 	FirstServiceTime clock.Millis
 }
@@ -132,6 +137,8 @@
 	KnownBelow:       0.15,
 	TroubleShare:     0.07,
 	TroubleWindow:    2000,
+	FloorShare:       0.08,
+	SoundAgain:       1800,
 	FirstServiceTime: 200,
 }
 
@@ -156,6 +163,8 @@
 	peers  map[ident.Process]*peerSeen
 	// okAt and failedAt are when this node saw the last good answer and the last failure.
 	okAt, failedAt clock.Millis
+	// lastFailed is when any node was last known to see a failure.
+	lastFailed clock.Millis
 	// failures and lates count since this node's start.
 	failures, lates uint32
 	lateAt          clock.Millis
--- a/pool/share.go
+++ b/pool/share.go
@@ -24,7 +24,7 @@
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	ended := p.ended.sum(now)
-	r := &tlv1.Report{Whole: whole, Asked: uint32(ended.asked), Unserved: uint32(ended.unserved)}
+	r := &tlv1.Report{Whole: whole, Asked: uint32(ended.asked), Unserved: uint32(ended.unserved), Failed: uint32(ended.failed)}
 	for _, t := range p.order {
 		stale := t.mine > 0 && now-t.toldAt >= p.tuning.PeerAge/refreshes
 		if !t.changed && !stale && !(whole && t.knownAt > 0) {
@@ -58,7 +58,7 @@
 func (p *Pool) Hear(from ident.Process, r *tlv1.Report) {
 	p.mu.Lock()
 	now := p.clock.Now()
-	p.peerEnded[from] = peerTally{tally: tally{asked: int(r.GetAsked()), unserved: int(r.GetUnserved())}, at: now}
+	p.peerEnded[from] = peerTally{tally: tally{asked: int(r.GetAsked()), unserved: int(r.GetUnserved()), failed: int(r.GetFailed())}, at: now}
 	for _, s := range r.GetSeen() {
 		if t := p.targets[ident.Target(s.GetTarget())]; t != nil {
 			p.hear(t, from, s, now)
@@ -106,6 +106,9 @@
 			t.usedAt = max(t.usedAt, now-clock.Millis(ms))
 		}
 	}
+	if s.GetFailedMs() != never {
+		t.lastFailed = max(t.lastFailed, now-clock.Millis(s.GetFailedMs()))
+	}
 	if s.GetInFlight() > 0 {
 		t.usedAt = now
 	}
