--- a/node/carriers.go
+++ b/node/carriers.go
@@ -160,6 +160,11 @@
 	return list
 }
 
+// carries says whether this node carries the service.
+func (c *carriers) carries(service string) bool {
+	return slices.ContainsFunc(c.all(service), func(m *tlv1.Member) bool { return processOf(m) == c.node.self })
+}
+
 // near returns the nodes of this hall that carry the service.
 func (c *carriers) near(service string) []*tlv1.Member {
 	return c.inHall(c.groupOf(service), c.node.hall())
--- a/node/retries.go
+++ b/node/retries.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"slices"
 	"sync"
 
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/pool"
-	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
 
 // The fleet's budget of retries is dealt out, so that it holds whoever hears whom: each node has the
@@ -26,11 +24,9 @@
 func (s *services) slack(service string) float64 {
 	n := s.node
 	live := len(n.members.Live()) + 1
-	carriers := n.carriers.all(service)
 	r := n.settings().Retries
 	return r.Slack * pool.SlackShare(pool.View{
-		Carries:  slices.ContainsFunc(carriers, func(m *tlv1.Member) bool { return processOf(m) == n.self }),
-		Carriers: len(carriers), Live: live, Known: s.most.see(live, n.clock.Now()),
+		Carries: n.carriers.carries(service), Carriers: len(n.carriers.all(service)), Live: live, Known: s.most.see(live, n.clock.Now()),
 		Young: n.clock.Now()-n.duty.since < r.Window.Millis(),
 	})
 }
