Put each node's change of mind on a target into the night's report

There n3, which does not carry the service, avoided t2 by n1's word and 100 ms after a failure of its own; neither n1 nor a carrier passed the bound. Now each node that changes its mind records it; only nodes that carry or use a service hear of its targets, so that few do. Operators may see one event from several nodes.

--- a/node/services.go
+++ b/node/services.go
@@ -330,9 +330,9 @@
 	return list
 }
 
-// note tells of a change in what is believed of a target. It is in the night's report if this node's own
-// evidence brought it about, or if it carries the service: another node's word may move the belief of
-// those that hear it over the bound, and not that node's own.
+// note tells of a change in what is believed of a target. Each node that changes its mind puts it into
+// the night's report, by whoever's word: one node's word may move those that hear it over the bound, and
+// not that node itself. Only the nodes that carry or use a service hear of its targets.
 func (s *services) note(svc *service, e pool.Event) {
 	s.node.metrics.belief(e.Kind)
 	s.node.log.WithFields(logrus.Fields{
@@ -340,7 +340,7 @@
 	}).Info()
 	kind, told := eventKinds[e.Kind]
 	name, err := ident.ParseService(svc.name)
-	if !told || err != nil || e.By != "" && !s.node.carriers.carries(svc.name) {
+	if !told || err != nil {
 		return
 	}
 	s.node.events.add(&tlv1.Event{Kind: kind, Workspace: string(name.Workspace), Service: name.Name, Target: string(e.Target)})
