--- a/desired/desired.go
+++ b/desired/desired.go
@@ -36,11 +36,14 @@
 	Rank uint32
 	// Attempts is the most targets that may run one request.
 	Attempts int
-	Parts    []Part
-	weight   uint32
+	// Parts are empty where the route cannot be used, as Fault says: its requests lead nowhere.
+	Parts  []Part
+	Fault  string
+	weight uint32
 }
 
-// Service draws the service for one request, by weight. Draw returns a random number below n.
+// Service draws the service for one request, by weight. Draw returns a random number below n. The
+// route must have no fault.
 func (r *Route) Service(draw func(n uint32) uint32) string {
 	if len(r.Parts) == 1 {
 		return r.Parts[0].Service
@@ -76,11 +79,13 @@
 	Services map[string]Service
 	byHost   map[string][]*Route
 	routes   []*Route
+	faults   []error
 	state    *tlv1.DesiredState
 	groups   *groups
 }
 
-// Compile checks a state and returns it ready for use.
+// Compile checks a state and returns it ready for use. A route that cannot be used costs no more than
+// itself: it leads nowhere, or is left out if nobody can say which requests are its own. Faults names it.
 func Compile(s *tlv1.DesiredState) (t *Table, err error) {
 	defer func() { err = errors.Wrapf(err, "desired state %d", s.GetVersion()) }()
 	if s.GetVersion() == 0 {
@@ -103,17 +108,14 @@
 		t.Services[svc.GetName()] = Service{Name: svc.GetName(), Connections: int(svc.GetConnections())}
 	}
 	for _, r := range s.GetRoutes() {
-		if err := t.add(r); err != nil {
-			return nil, err
-		}
+		t.add(r)
 	}
 	t.sort()
 	t.groups = newGroups(t)
 	return t, nil
 }
 
-func (t *Table) add(d *tlv1.DesiredRoute) (err error) {
-	defer func() { err = errors.Wrapf(err, "route %q", d.GetName()) }()
+func (t *Table) add(d *tlv1.DesiredRoute) {
 	r := &Route{
 		Name:       d.GetName(),
 		Host:       strings.ToLower(d.GetHost()),
@@ -124,6 +126,23 @@
 		Rank:       d.GetRank(),
 		Attempts:   max(int(d.GetAttempts()), 1),
 	}
+	err := t.lead(r, d)
+	if err != nil {
+		r.Parts, r.Fault = nil, err.Error()
+		t.faults = append(t.faults, errors.Wrapf(err, "route %q", r.Name))
+	}
+	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") {
+		return
+	}
+	if !strings.HasSuffix(r.Prefix, "/") {
+		r.Prefix += "/"
+	}
+	t.routes = append(t.routes, r)
+	t.byHost[r.Host] = append(t.byHost[r.Host], r)
+}
+
+// lead sets where the route leads, and says why it cannot be used.
+func (t *Table) lead(r *Route, d *tlv1.DesiredRoute) error {
 	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return errors.Newf("host %q and prefix %q do not name a place", r.Host, r.Prefix)
 	}
@@ -140,11 +159,14 @@
 	if len(r.Parts) == 0 {
 		return errors.New("leads to no service")
 	}
-	t.routes = append(t.routes, r)
-	t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	return nil
 }
 
+// Faults names the routes that cannot be used, and why.
+func (t *Table) Faults() []error {
+	return t.faults
+}
+
 // sort puts the longest prefixes first.
 func (t *Table) sort() {
 	for _, list := range t.byHost {
--- a/node/duty.go
+++ b/node/duty.go
@@ -165,12 +165,12 @@
 	var list, news []replica.Record
 	n.metrics.storeCall(k, m > 0)
 	if m == 0 {
-		list, next, err = n.platform.Source.Read(ctx, k)
+		list, next, err = n.source.Read(ctx, k)
 		if err == nil {
 			news = n.records.replace(k, list, next, fromStore)
 		}
 	} else {
-		list, next, err = n.platform.Source.Follow(ctx, k, m, watchWait)
+		list, next, err = n.source.Follow(ctx, k, m, watchWait)
 		if err == nil {
 			news = n.records.put(k, list, fromStore)
 		}
--- a/node/front.go
+++ b/node/front.go
@@ -34,7 +34,7 @@
 func (n *Node) servePlatform(w http.ResponseWriter, r *http.Request) {
 	t := n.records.await(r)
 	if t == nil {
-		n.refuse(w, r, Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyPause, Detail: "no desired state is known yet"})
+		n.refuse(w, r, Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyPause, Detail: n.records.missing()})
 		return
 	}
 	route := t.Find(r.Host, r.URL.EscapedPath())
@@ -42,6 +42,10 @@
 		n.refuse(w, r, Problem{Status: http.StatusNotFound, Detail: "no route"})
 		return
 	}
+	if route.Fault != "" {
+		n.refuse(w, r, Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyPause, Detail: "the route cannot be used: " + route.Fault})
+		return
+	}
 	if t.Limits.HeaderBytes > 0 && headerBytes(r) > t.Limits.HeaderBytes {
 		n.refuse(w, r, Problem{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "the header is too large"})
 		return
@@ -115,7 +119,7 @@
 	case n.members.Superseded():
 		return "a later process runs in this node's place"
 	case n.records.table.Load() == nil && n.settings().Node.Operators == "":
-		return "no desired state is known yet"
+		return n.records.missing()
 	}
 	return ""
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -94,6 +94,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_store_calls_failed_total{kind=%q}`, k)).Inc()
 }
 
+// recordRefused counts records of the store that cannot be used, whole ones and parts.
+func (m *nodeMetrics) recordRefused(k store.Kind, whole bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_records_refused_total{kind=%q,whole="%v"}`, k, whole)).Inc()
+}
+
 func (m *nodeMetrics) attempt(o pool.Outcome, took clock.Millis) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_attempts_total{outcome=%q}`, o)).Inc()
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`tinladder_attempt_seconds{outcome=%q}`, o)).Update(took.Duration().Seconds())
--- a/node/node.go
+++ b/node/node.go
@@ -46,7 +46,8 @@
 
 // A Platform struct is what the node has of the platform.
 type Platform struct {
-	Source  store.Source
+	// Source makes what records are read from. It calls refused for all that it reads and cannot use.
+	Source  func(refused func(store.Refusal)) store.Source
 	Table   store.Table
 	Objects store.Objects
 	Speech  Speech
@@ -65,6 +66,7 @@
 
 	members  *member.Table
 	records  *records
+	source   store.Source
 	services *services
 	carriers *carriers
 	duty     *duty
@@ -115,6 +117,7 @@
 	n.members.Seed(s.Fleet.Seeds)
 	n.ledger = once.NewLedger(n.self, once.DefaultLimits, n.clock, newRand())
 	n.records = newRecords(n)
+	n.source = n.platform.Source(n.records.refuse)
 	n.services = newServices(n)
 	n.carriers = newCarriers(n)
 	n.peers = newPeers(n)
--- a/node/records.go
+++ b/node/records.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,8 @@
 	book  atomic.Pointer[book]
 	// first is closed when the first desired state is in force.
 	first chan struct{}
+	// refused is the newest desired state that cannot be used at all.
+	refused atomic.Pointer[store.Refusal]
 	// mu keeps changes from being taken over out of order.
 	mu sync.Mutex
 }
@@ -102,19 +105,43 @@
 		if r.table.Swap(t) == nil {
 			close(r.first)
 		}
+		for _, err := range t.Faults() {
+			n.metrics.recordRefused(store.State, false)
+			n.log.WithFields(logrus.Fields{"event": "route_refused", "version": t.Version, "from": from, "error": err}).Error()
+		}
 		n.metrics.stateVersion(uint64(t.Version))
 		n.log.WithFields(logrus.Fields{"event": "state_in_force", "version": t.Version, "from": from, "routes": len(t.Routes())}).Warn()
 	}
 }
 
+// refuse tells of a record, or a part of one, that was read from the store and cannot be used.
+func (r *records) refuse(x store.Refusal) {
+	n := r.node
+	n.metrics.recordRefused(x.Kind, x.Part == "")
+	n.log.WithFields(logrus.Fields{
+		"event": "record_refused", "kind": x.Kind, "key": x.Key, "part": x.Part, "version": x.Version, "error": x.Err,
+	}).Error()
+	if x.Kind == store.State && x.Part == "" {
+		r.refused.Store(&x)
+	}
+}
+
+// missing says why there is no desired state.
+func (r *records) missing() string {
+	if x := r.refused.Load(); x != nil {
+		return fmt.Sprintf("the desired state in the store cannot be used, record version %d: %v", x.Version, x.Err)
+	}
+	return "no desired state is known yet"
+}
+
 // firstWait is how long a request waits for the first desired state after the node's start. It is
 // there within tens of milliseconds of the store's or another node's answer.
 const firstWait clock.Millis = 600
 
 // await returns the desired state. A request that comes before there is one waits a little.
 func (r *records) await(req *http.Request) *desired.Table {
-	if t := r.table.Load(); t != nil {
-		return t
+	if t := r.table.Load(); t != nil || r.refused.Load() != nil {
+		return t // one that cannot be used is not waited for
 	}
 	wait := time.NewTimer(firstWait.Duration())
 	defer wait.Stop()
--- a/node/records_test.go
+++ b/node/records_test.go
@@ -217,3 +217,50 @@
 	f.calm(3)
 	f.eventually("the node goes on", func() bool { return inForce(n, 3) })
 }
+
+// TestOneUnknownWordCostsItself writes a state with a kind of route that this version does not know, a
+// route that cannot be read and a service that speaks another protocol, beside a sound route.
+func TestOneUnknownWordCostsItself(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2)
+	desk := f.target("i-1", "desk")
+	odd, unreadable := route("/odd/", "sometimes", "desk"), route("/unreadable/", standin.Repeatable, "desk")
+	unreadable.Timeout = "soon"
+	f.store.Configure(3, []string{"desk"}, route("/", standin.Large, "desk"), odd, unreadable, route("/lost/", standin.Repeatable, "nobody"))
+	f.ready(3, 1)
+	n := f.nodes[0]
+	is.Equal(f.call(n, http.MethodGet, "/x", "1", "").status, http.StatusOK)
+	is.Equal(f.call(n, http.MethodGet, "/odd/x", "2", "").status, http.StatusOK)
+	for _, path := range []string{"/unreadable/x", "/lost/x"} {
+		r := f.call(n, http.MethodGet, path, "3", "")
+		is.Equal(r.status, http.StatusServiceUnavailable)
+		is.True(r.header.Get("Retry-After") != "")
+	}
+	is.Equal(ran("3", desk), 0)
+	f.eventually("the flaws are in a log", func() bool {
+		text := f.nodes[0].log.String() + f.nodes[1].log.String()
+		return strings.Contains(text, `event=record_refused`) && strings.Contains(text, `part="route 1 "`) || strings.Contains(text, "sometimes")
+	})
+	desk.SetFaults(standin.TargetFaults{Lose: 1})
+	is.Equal(f.call(n, http.MethodGet, "/odd/x", "4", "").status, http.StatusBadGateway)
+	is.Equal(ran("4", desk), 1) // as if it ran once
+}
+
+// TestStateThatCannotBeUsedIsNamed writes a state that makes no sense at all: callers, logs and metrics
+// name it, and the next good one is in force.
+func TestStateThatCannotBeUsedIsNamed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	n := f.nodes[0]
+	f.target("i-1", "desk")
+	f.store.Put("op", "config", []byte(`{"version":"twelve"}`))
+	f.eventually("the refusal is in the log", func() bool { return strings.Contains(n.log.String(), "event=record_refused") })
+	r := f.call(n, http.MethodGet, "/x", "1", "")
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(r.body, "cannot be used"))
+	is.True(strings.Contains(r.body, "twelve"))
+	is.True(r.took < 500*time.Millisecond)
+	f.calm(13)
+	f.ready(13, 1)
+	is.Equal(f.call(n, http.MethodGet, "/get/x", "2", "").status, http.StatusOK)
+}
--- a/store/store.go
+++ b/store/store.go
@@ -83,6 +83,17 @@
 	Documents Kind = "documents"
 )
 
+// A Refusal struct is a record, or a part of one, that cannot be used.
+type Refusal struct {
+	Kind Kind
+	Key  string
+	// Part names what of the record cannot be used; "" says that all of it cannot.
+	Part string
+	// Version is the record's.
+	Version uint64
+	Err     error
+}
+
 // A Mark is a place in a kind's changes, to go on from.
 type Mark uint64
 
--- a/tinladder.go
+++ b/tinladder.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/logs"
@@ -24,6 +23,7 @@
 	"github.com/tinladder/tinladder/platform"
 	"github.com/tinladder/tinladder/platform/standin"
 	"github.com/tinladder/tinladder/settings"
+	"github.com/tinladder/tinladder/store"
 )
 
 // Load reads and checks a settings file.
@@ -46,7 +46,7 @@
 			return nil, err
 		}
 	}
-	return node.New(s, path, On(address, c, log), c, log)
+	return node.New(s, path, On(address, c), c, log)
 }
 
 // history is how long an embedded stand-in keeps changes.
@@ -64,13 +64,10 @@
 }
 
 // On returns the users' platform with its store at the address.
-func On(store string, c clock.Clock, log *logs.Log) node.Platform {
-	client := platform.NewClient(store)
-	bad := func(row string, err error) {
-		log.WithFields(logrus.Fields{"event": "row_refused", "row": row, "error": err}).Error()
-	}
+func On(address string, c clock.Clock) node.Platform {
+	client := platform.NewClient(address)
 	return node.Platform{
-		Source:  platform.NewSource(client, c, bad),
+		Source:  func(refused func(store.Refusal)) store.Source { return platform.NewSource(client, c, refused) },
 		Table:   platform.NewTable(client),
 		Objects: platform.NewObjects(client),
 		Speech: node.Speech{
