End queued requests whose callers left; give up a silent target's other connections

Now the wait ends with the caller, whatever the kind; an attempt that ends in silence gives up the target's idle connections, and keep-alive finds one that went silent at rest in 4 s.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -29,6 +29,11 @@
 	// idleMargin is how much sooner than the target tells its idle connections are given up, for
 	// the way there and late timers.
 	idleMargin clock.Millis = 1000
+	// keepAliveIdle, keepAliveEvery and keepAliveCount find a connection that went silent while it rested
+	// in 4 s, before a run-once request may be lost on it.
+	keepAliveIdle  = 2 * time.Second
+	keepAliveEvery = 1 * time.Second
+	keepAliveCount = 2
 	// idleUntold is how long a connection is kept whose target tells no time.
 	idleUntold clock.Millis = 4000
 )
@@ -111,7 +116,10 @@
 
 // NewConns returns a Conns without connections, that gives up connecting after the time-out.
 func NewConns(c clock.Clock, timeout clock.Millis) *Conns {
-	return &Conns{clock: c, idle: map[string][]*Conn{}, dialer: net.Dialer{Timeout: timeout.Duration()}}
+	return &Conns{clock: c, idle: map[string][]*Conn{}, dialer: net.Dialer{
+		Timeout:         timeout.Duration(),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: keepAliveCount},
+	}}
 }
 
 // get returns an idle connection that rested no longer than the age, or a new one.
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -94,7 +94,7 @@
 	ctx, cancel := x.context()
 	defer cancel()
 	for {
-		l, err := x.acquire(ctx)
+		l, err := x.acquire()
 		if err != nil {
 			x.giveUp(err, t)
 			return
@@ -106,8 +106,11 @@
 	}
 }
 
-// acquire waits for a target.
-func (x *exchange) acquire(ctx context.Context) (*pool.Lease, error) {
+// acquire waits for a target, for as long as the caller does: a request that was not sent is not sent
+// once its caller has left, whatever its kind.
+func (x *exchange) acquire() (*pool.Lease, error) {
+	ctx, cancel := context.WithTimeout(x.r.Context(), (x.deadline - x.node.clock.Now()).Duration())
+	defer cancel()
 	from := x.node.clock.Now()
 	defer func() { x.waited += x.node.clock.Now() - from }()
 	return x.service.pool.Acquire(ctx, x.ask())
@@ -139,6 +142,10 @@
 	took := x.node.clock.Now() - from
 	e := end{lease: t.lease, answer: a, err: err, outcome: x.outcome(ctx, a, err, t.lease, took)}
 	t.lease.Done(e.outcome, a != nil && x.leaves(a))
+	if e.outcome == pool.Late || e.outcome == pool.Silent {
+		// The target's other connections may be silent too: one request is lost by them, not one by each.
+		x.node.conns.Forget(t.lease.Address)
+	}
 	x.pace.learn(e, t.request, took)
 	x.node.metrics.attempt(e.outcome, took)
 	if e.outcome != pool.Good {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -33,6 +33,8 @@
 	store *standin.Store
 	nodes []*testNode
 	http  *http.Client
+	// via returns the address by which nodes reach the store at the one given.
+	via func(store string) string
 }
 
 // testNode is one node. It reaches the store by a door of its own.
@@ -67,9 +69,14 @@
 
 // newFleet starts nodes in three halls. They know no desired state yet.
 func newFleet(t *testing.T, nodes int) *fleet {
+	return newFleetVia(t, nodes, func(store string) string { return store })
+}
+
+// newFleetVia starts nodes that reach the store by another address.
+func newFleetVia(t *testing.T, nodes int, via func(store string) string) *fleet {
 	c := clock.NewSystem()
 	f := &fleet{
-		t: t, clock: c, store: standin.New(c, 20*clock.Second),
+		t: t, clock: c, store: standin.New(c, 20*clock.Second), via: via,
 		http: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 16}},
 	}
 	for i := range nodes {
@@ -119,7 +126,7 @@
 [bounds]
 grace = "2s"
 %s
-`, n.name, n.hall, n.callers, n.peers, n.readiness, n.directory, s.Listener.Addr(), seeds, more)
+`, n.name, n.hall, n.callers, n.peers, n.readiness, n.directory, f.via(s.Listener.Addr().String()), seeds, more)
 }
 
 func (f *fleet) start(n *testNode) {
--- a/node/request_test.go
+++ b/node/request_test.go
@@ -348,6 +348,66 @@
 	is.True(time.Since(left) < 400*time.Millisecond) // the route would hold it for a second
 }
 
+// TestCallerThatLeavesEndsBothAttempts closes a caller's connection while two silent targets have its
+// request. Both attempts end, and no target gets the request later.
+func TestCallerThatLeavesEndsBothAttempts(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	targets := []*standin.Target{f.target("i-1", "desk"), f.target("i-2", "desk"), f.target("i-3", "desk")}
+	f.calm(3)
+	f.ready(3, 3)
+	for i := range 30 {
+		f.call(f.nodes[0], http.MethodGet, "/get/", fmt.Sprint("warm", i), "")
+	}
+	for _, target := range targets {
+		target.SetFaults(standin.TargetFaults{Hang: 1})
+	}
+	c, err := net.Dial("tcp", f.nodes[0].callers)
+	is.NoErr(err)
+	_, err = fmt.Fprint(c, rawGet("gone"))
+	is.NoErr(err)
+	f.eventually("two targets have it", func() bool { return ran("gone", targets...) == 2 })
+	is.NoErr(c.Close())
+	left := time.Now()
+	f.eventually("the targets' connections have ended", func() bool {
+		open := 0
+		for _, target := range targets {
+			open += target.Working()
+		}
+		return open == 0
+	})
+	is.True(time.Since(left) < 400*time.Millisecond) // the route would hold it for a second
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(ran("gone", targets...), 2)
+}
+
+// TestCallerThatLeavesTheQueue closes the connection of a run-once request that waits for a slot. It is not
+// sent when a slot comes free.
+func TestCallerThatLeavesTheQueue(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	target := f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	target.SetFaults(standin.TargetFaults{Hang: 1})
+	var wg sync.WaitGroup
+	for i := range 6 { // its slots, and its own queue
+		wg.Go(func() { f.callWithin(f.nodes[0], http.MethodPost, "/once/", fmt.Sprint("held", i), "pay", 700) })
+	}
+	f.eventually("the target is full", func() bool { return len(target.Seen()) == 6 })
+	c, err := net.Dial("tcp", f.nodes[0].callers)
+	is.NoErr(err)
+	h := platform.Headers()
+	_, err = fmt.Fprintf(c, "POST /once/ HTTP/1.1\r\nHost: shop\r\nContent-Length: 3\r\n%s: queued\r\n%s: 3000\r\n\r\npay", h.RequestID, h.Deadline)
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(len(target.Seen()), 6)
+	is.NoErr(c.Close())
+	wg.Wait()
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(len(target.Seen()), 6)
+}
+
 func TestLimitsOfTheDesiredState(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 1)
