--- a/forward/header.go
+++ b/forward/header.go
@@ -22,10 +22,18 @@
 	IDOptional bool
 	// Promises says that 408, 421, 429 and 503 tell callers that a request has not run.
 	Promises bool
+	// Load reads what a target says of its own load in an answer's header; nil if targets say nothing.
+	Load func(h http.Header) (Load, bool)
 	// Forwarded says that targets are told who asked.
 	Forwarded bool
 }
 
+// A Load struct is what a target says of itself: how many requests it works on, how many wait there, and
+// how many it can work on at a time.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
 // hopByHop headers speak of one connection, and are not passed on (RFC 9110, 7.6.1).
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/node/account.go
+++ b/node/account.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/forward"
 	"github.com/tinladder/tinladder/pool"
 )
 
@@ -44,6 +45,9 @@
 	}
 	if e.answer != nil {
 		f["status"], f["reused"] = e.answer.Status, e.answer.Reused
+		if load, told := x.targetLoad(e.answer); told {
+			f["target_load"] = fmt.Sprintf("%d+%d/%d", load.Running, load.Waiting, load.Slots)
+		}
 	}
 	if e.err != nil {
 		f["error"] = e.err
@@ -54,6 +58,14 @@
 	x.node.log.WithFields(f).Warn()
 }
 
+// targetLoad returns what the target said of its own load.
+func (x *exchange) targetLoad(a *forward.Answer) (forward.Load, bool) {
+	if x.headers.Load == nil {
+		return forward.Load{}, false
+	}
+	return x.headers.Load(a.Header)
+}
+
 // ended notes how the request ended; status 0 says that nobody was answered, and no cause that it was
 // served.
 func (x *exchange) ended(status int, c cause, reason string) {
