--- a/cmd/tinladderctl/logs.go
+++ b/cmd/tinladderctl/logs.go
@@ -64,6 +64,35 @@
 	return o.table(nil, "COUNT\tSERVICE\tKIND\tCAUSE\tFIRST\tLAST\tMOST AT\tREQUESTS", rows)
 }
 
+// reportTimes tells from the nodes' logs what failed over time.
+func reportTimes(o *output, cmd *reportCmd) error {
+	t := trace.NewTimeline(time.Now().Add(-cmd.Since), cmd.Every)
+	if err := readLogs(cmd.Logs, t.Add); err != nil {
+		return err
+	}
+	if o.json {
+		return o.value(t.Spans())
+	}
+	failures := t.Failures()
+	heading := "FROM\tFAILED"
+	for _, f := range failures {
+		heading += "\t" + f.String()
+	}
+	var rows [][]string
+	for _, s := range t.Spans() {
+		counts := map[trace.Failure]int{}
+		for _, c := range s.Counts {
+			counts[c.Failure] = c.Count
+		}
+		row := []string{s.From.Format(time.TimeOnly), fmt.Sprint(s.Failed)}
+		for _, f := range failures {
+			row = append(row, fmt.Sprint(counts[f]))
+		}
+		rows = append(rows, row)
+	}
+	return o.table(nil, heading, rows)
+}
+
 // value prints anything as JSON.
 func (o *output) value(v any) error {
 	b, err := json.MarshalIndent(v, "", "  ")
--- a/cmd/tinladderctl/main.go
+++ b/cmd/tinladderctl/main.go
@@ -49,6 +49,7 @@
 	Workspace string        `arg:"positional" help:"all workspaces, for administrators, if left out"`
 	Since     time.Duration `arg:"--since" default:"12h"`
 	Logs      []string      `arg:"--logs" help:"the nodes' logs, to say it from them and not ask a node; - is standard input"`
+	Every     time.Duration `arg:"--every" help:"with --logs: what failed over time, in spans of this length"`
 }
 
 type explainCmd struct {
@@ -99,6 +100,7 @@
   tinladderctl drain tuul/refunds r3
   tinladderctl report tuul --since 12h
   tinladderctl report --logs node1.log node2.log
+  tinladderctl report --every 2s --logs node1.log node2.log
   tinladderctl explain 9c41d07be2a35f68 node1.log node2.log
 
 Exit codes: 0 done, 1 error, 2 wrong usage, 3 another operator was faster,
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -89,6 +89,22 @@
 	is.Equal(late.Failed, 1)
 }
 
+// TestTimeline counts the night's failures in spans of two seconds.
+func TestTimeline(t *testing.T) {
+	is := is.New(t)
+	line := trace.NewTimeline(time.Time{}, 2*time.Second)
+	for _, l := range read(t) {
+		line.Add(l)
+	}
+	is.Equal(line.Failures()[0], trace.Failure{Kind: "repeatable", Cause: "queue"})
+	spans := line.Spans()
+	is.Equal(len(spans), 3)
+	is.Equal(spans[0].From.Second(), 0)
+	is.Equal(spans[0].Counts, []trace.Count{{Failure: trace.Failure{Kind: "once", Cause: "target_failed"}, Count: 1}})
+	is.Equal(spans[1].Failed, 2)
+	is.Equal(spans[2].Counts[0].Cause, "refused 404")
+}
+
 // TestLongLines passes over a line that is too long, and reads on.
 func TestLongLines(t *testing.T) {
 	is := is.New(t)
