--- a/pool/choose.go
+++ b/pool/choose.go
@@ -31,18 +31,22 @@
 	return !t.gone && !t.Leaving && !t.left && now >= t.blockedUntil
 }
 
-// inFlight returns what all nodes are known to have at the target.
+// inFlight returns what all nodes are known to have at the target. What the others have is summed once a
+// millisecond, or when one of them says more: a choice asks for it four times a target, and a node that
+// hears a hundred others would spend most of its processor time on the sums.
 func (p *Pool) inFlight(t *target, now clock.Millis) int {
-	n := t.mine
 	if !p.tuning.PeerLoad {
-		return n
+		return t.mine
 	}
-	for _, s := range t.peers {
-		if now-s.at <= p.tuning.PeerAge {
-			n += s.inFlight
+	if t.othersAt != now {
+		t.others, t.othersAt = 0, now
+		for _, s := range t.peers {
+			if now-s.at <= p.tuning.PeerAge {
+				t.others += s.inFlight
+			}
 		}
 	}
-	return n
+	return t.mine + t.others
 }
 
 // cost says how bad it is to send the request to the target, where it waits for so long; the least
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -87,6 +87,9 @@
 	belief belief.Belief
 	mine   int
 	peers  map[ident.Process]*peerSeen
+	// others is what they have in flight, as summed at othersAt.
+	others   int
+	othersAt clock.Millis
 	// okAt and failedAt are when this node saw the last good answer and the last failure.
 	okAt, failedAt clock.Millis
 	// lastFailed is when any node was last known to see a failure.
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -162,7 +162,12 @@
 func (p *Pool) press(w *waiter) {
 	p.mu.Lock()
 	w.pressed = true
-	grants := p.grantWaiting()
+	var grants []grant
+	if w.element != nil {
+		if g, granted := p.grantTo(w); granted {
+			grants = append(grants, g)
+		}
+	}
 	p.mu.Unlock()
 	call(grants)
 }
@@ -180,26 +185,39 @@
 	return nil, err
 }
 
+// maxPassed is how many waiters in a row may find no slot before the others are not looked at: each look
+// weighs all targets, and a long queue would take the node's processor time.
+const maxPassed = 3
+
 // grantWaiting hands out slots to those who wait, in their order.
 func (p *Pool) grantWaiting() []grant {
 	var grants []grant
-	for e := p.waiting.Front(); e != nil; {
-		w, next := e.Value.(*waiter), e.Next()
-		c := p.choose(w.ask, w.pressed)
-		var g grant
-		switch {
-		case c.target != nil:
-			g = grant{waiter: w, lease: p.lease(c, p.clock.Now())}
-		case !p.anyUsable(w.ask):
-			g = grant{waiter: w, err: ErrNoTarget}
-		default:
-			e = next
-			continue
+	passed := 0
+	for e := p.waiting.Front(); e != nil && passed < maxPassed; {
+		next := e.Next()
+		if g, granted := p.grantTo(e.Value.(*waiter)); granted {
+			grants = append(grants, g)
+			passed = 0
+		} else {
+			passed++
 		}
-		p.waiting.Remove(e)
-		w.element = nil
-		grants = append(grants, g)
 		e = next
 	}
 	return grants
 }
+
+// grantTo takes a waiter out of the queue if there is a slot for it, or can be none.
+func (p *Pool) grantTo(w *waiter) (g grant, granted bool) {
+	c := p.choose(w.ask, w.pressed)
+	switch {
+	case c.target != nil:
+		g = grant{waiter: w, lease: p.lease(c, p.clock.Now())}
+	case !p.anyUsable(w.ask):
+		g = grant{waiter: w, err: ErrNoTarget}
+	default:
+		return grant{}, false
+	}
+	p.waiting.Remove(w.element)
+	w.element = nil
+	return g, true
+}
--- a/pool/share.go
+++ b/pool/share.go
@@ -115,6 +115,7 @@
 	was.failed = s.GetFailed()
 	was.inFlight = int(s.GetInFlight())
 	was.at = now
+	t.othersAt = 0
 	if s.GetLeaving() {
 		p.leave(t, from.Node, now)
 	}
