--- a/proof/model_test.go
+++ b/proof/model_test.go
@@ -284,3 +284,29 @@
 		t.Logf("%-20s fixed: not served %.2f%% late %.2f%% | true figures: %.2f%% %.2f%%", d.name, 100*u, 100*l, 100*ku, 100*kl)
 	}
 }
+
+// TestMeasureMechanisms prints what is not served, and what is late, with each mechanism of the choice
+// switched off, on three deployments in virtual time. It is no check: it is run by hand.
+func TestMeasureMechanisms(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; run with -measure")
+	}
+	hangs := usual.with("hangs", func(d *deployment) { d.hangs, d.failRate = true, 0.75 })
+	high := hangs.with("hangs, high load", func(d *deployment) { d.rate = 90 })
+	for _, off := range append([]string{""}, pool.Mechanisms()...) {
+		var names []string
+		if off != "" {
+			names = []string{off}
+		}
+		tuning, err := pool.DefaultTuning.Without(names...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		line := fmt.Sprintf("without %-13s", off)
+		for _, d := range []deployment{usual, hangs, high} {
+			unserved, late := d.mean(t, tuning)
+			line += fmt.Sprintf(" | %s: not served %.2f%% late %.2f%%", d.name, 100*unserved, 100*late)
+		}
+		t.Log(line)
+	}
+}
