--- a/member/table.go
+++ b/member/table.go
@@ -16,6 +16,8 @@
 const (
 	newsPerMessage = 8
 	relays         = 3
+	// leaveTold is how many others hear of a planned stop at once: all of a small fleet.
+	leaveTold = 48
 	// maxSlowness bounds how far a node that misses answers stretches its own time-outs.
 	maxSlowness = 4
 	// bulk is how much news at once is taken for a node's own ignorance.
@@ -172,12 +174,14 @@
 	return t.superseded
 }
 
-// Leave makes the node say that it takes no new callers.
-func (t *Table) Leave() {
+// Leave says that the node is leaving, and returns the word to others that carries the news at once: a node
+// that hears of it by a probe only would send it callers for up to a second more.
+func (t *Table) Leave() []Send {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.self.Leaving = true
 	t.sayOfSelf()
+	return t.tell(leaveTold)
 }
 
 // Bye returns the node's last word to the others: that it is gone.
@@ -186,8 +190,13 @@
 	defer t.mu.Unlock()
 	t.self.State = tlv1.NodeState_NODE_STATE_GONE
 	t.sayOfSelf()
+	return t.tell(2 * relays)
+}
+
+// tell returns the news to so many others.
+func (t *Table) tell(count int) []Send {
 	var sends []Send
-	for _, name := range t.someLive(2*relays, "") {
+	for _, name := range t.someLive(count, "") {
 		sends = append(sends, t.message(tlv1.GossipKind_GOSSIP_KIND_ACK, 0, t.entries[name].member.GetGossipAddress()))
 	}
 	return sends
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -140,6 +140,9 @@
 	from := x.node.clock.Now()
 	a, err := x.node.conns.Send(ctx, t.lease.Address, t.request)
 	took := x.node.clock.Now() - from
+	if err != nil && errors.Is(context.Cause(ctx), errBeaten) {
+		err = errors.Mark(errBeaten, forward.ErrSent)
+	}
 	e := end{lease: t.lease, answer: a, err: err, outcome: x.outcome(ctx, a, err, t.lease, took)}
 	t.lease.Done(e.outcome, a != nil && x.leaves(a))
 	if e.outcome == pool.Late || e.outcome == pool.Silent {
--- a/node/leave.go
+++ b/node/leave.go
@@ -62,7 +62,7 @@
 	grace := n.settings().Bounds.Grace.Millis()
 	n.log.WithFields(logrus.Fields{"event": "leaving", "node": n.self.Node, "grace_ms": grace, "in_flight": l.busy.Load()}).Warn()
 	l.begun.Store(true)
-	n.members.Leave()
+	n.sendGossip(n.members.Leave())
 	n.duty.announce()
 	begin := n.clock.Now()
 	for n.clock.Now()-begin < grace*acceptShare/hundredths {
