Sight: log and count comparisons between nodes, what was read before a deadline, and since when a node is behind

The logs could not tell whether a node was not told of a newer state, did not ask for it, or could not get it. A KindSum names the newest version held; only the log uses it.

--- a/node/duty.go
+++ b/node/duty.go
@@ -284,7 +284,8 @@
 func (d *duty) kindSums() []*tlv1.KindSum {
 	var list []*tlv1.KindSum
 	for _, k := range d.node.kinds() {
-		s := &tlv1.KindSum{Kind: string(k), Sum: d.node.records.sets[k].Sum(), AgeMs: never}
+		set := d.node.records.sets[k]
+		s := &tlv1.KindSum{Kind: string(k), Sum: set.Sum(), AgeMs: never, Newest: set.Newest()}
 		d.mu.Lock()
 		if at := d.confirmed[k]; at > 0 {
 			s.AgeMs = int64(d.node.clock.Now() - at)
@@ -308,14 +309,14 @@
 		delete(d.deafAt, p)
 	}
 	d.mu.Unlock()
-	if !d.hearKinds(c.GetKinds()) {
+	if !d.hearKinds(c.GetKinds(), p.Node) {
 		d.node.peers.sync(c.GetPeerAddress())
 	}
 }
 
 // hearKinds takes in how long ago the store held what another node holds, and says whether this
 // one holds the same.
-func (d *duty) hearKinds(kinds []*tlv1.KindSum) bool {
+func (d *duty) hearKinds(kinds []*tlv1.KindSum, from ident.Node) bool {
 	same := true
 	now := d.node.clock.Now()
 	for _, s := range kinds {
@@ -323,6 +324,7 @@
 		if !slices.Contains(d.node.kinds(), k) {
 			continue
 		}
+		d.node.lag.heard(k, s.GetNewest(), from)
 		if d.node.records.sets[k].Sum() != s.GetSum() {
 			same = false
 			continue
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -63,6 +63,7 @@
 	m.set.NewGauge("tinladder_members", func() float64 { return float64(len(n.members.Live())) })
 	m.set.NewGauge("tinladder_log_lines_dropped", func() float64 { return float64(n.log.Dropped()) })
 	m.set.NewGauge("tinladder_log_written_bytes", func() float64 { return float64(n.log.Written()) })
+	m.set.NewGauge("tinladder_state_behind_ms", func() float64 { return float64(n.lag.behind(store.State)) })
 	m.set.NewGauge("tinladder_state_age_seconds", func() float64 {
 		if m.stateAt.Get() == 0 {
 			return 0
@@ -96,6 +97,20 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_store_calls_failed_total{kind=%q}`, k)).Inc()
 }
 
+// synced counts comparisons that this node asked of others, and the bytes of their answers, also of
+// those that were given up.
+func (m *nodeMetrics) synced(ok bool, bytes int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_syncs_total{ok="%v"}`, ok)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_sync_read_bytes_total{ok="%v"}`, ok)).Add(bytes)
+}
+
+// syncServed counts comparisons that others asked of this node, with records or without, and the
+// bytes of its answers before they are compressed.
+func (m *nodeMetrics) syncServed(records bool, bytes int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_syncs_served_total{records="%v"}`, records)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_sync_served_bytes_total{records="%v"}`, records)).Add(bytes)
+}
+
 // recordRefused counts records of the store that cannot be used, whole ones and parts.
 func (m *nodeMetrics) recordRefused(k store.Kind, whole bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_records_refused_total{kind=%q,whole="%v"}`, k, whole)).Inc()
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,7 @@
 	services *services
 	carriers *carriers
 	duty     *duty
+	lag      *lag
 	wire     *wire
 	peers    *peers
 	conns    *forward.Conns
@@ -127,6 +128,7 @@
 	n.carriers = newCarriers(n)
 	n.peers = newPeers(n)
 	n.duty = newDuty(n)
+	n.lag = newLag(n)
 	n.events = newEventLog(n.self, n.platform.Objects, n.clock)
 	n.events.wanted = s.Node.Operators != ""
 	n.leaving = newLeaving(n)
--- a/node/peers.go
+++ b/node/peers.go
@@ -2,18 +2,22 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"github.com/tinladder/tinladder/schema/tinladder/v1/tinladderv1connect"
 	"github.com/tinladder/tinladder/store"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -59,7 +63,27 @@
 func (t *doorTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set(HeaderPeerKey, t.keys.doorKey())
-	return t.base.RoundTrip(r)
+	res, err := t.base.RoundTrip(r)
+	if n, found := r.Context().Value(bytesRead{}).(*atomic.Int64); found && err == nil {
+		res.Body = &countedBody{ReadCloser: res.Body, read: n}
+	}
+	return res, err
+}
+
+// bytesRead is the key under which a call's context holds the count of the bytes of its answer.
+type bytesRead struct{}
+
+// A countedBody counts what is read of an answer, also of one that never ends.
+type countedBody struct {
+	io.ReadCloser
+	read *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.read.Add(int64(n))
+	return n, err
 }
 
 // peersDoor serves other nodes only.
@@ -88,6 +112,7 @@
 			res.Records = append(res.Records, n.records.wire(k, set.All()))
 		}
 	}
+	n.metrics.syncServed(len(res.Records) > 0, proto.Size(res))
 	return connect.NewResponse(res), nil
 }
 
@@ -142,9 +167,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout.Duration())
 	defer cancel()
 	n := p.node
+	var read atomic.Int64
+	begun := n.clock.Now()
 	c := tinladderv1connect.NewFleetServiceClient(p.http, "http://"+address)
-	res, err := c.Sync(ctx, connect.NewRequest(&tlv1.SyncRequest{Kinds: n.duty.kindSums(), Members: n.members.All()}))
+	res, err := c.Sync(context.WithValue(ctx, bytesRead{}, &read), connect.NewRequest(&tlv1.SyncRequest{Kinds: n.duty.kindSums(), Members: n.members.All()}))
+	n.metrics.synced(err == nil, int(read.Load()))
 	if err != nil {
+		n.log.WithFields(logrus.Fields{
+			"event": "sync_failed", "address": address, "ms": n.clock.Now() - begun, "bytes": read.Load(), "error": err,
+		}).Info()
 		return false
 	}
 	n.members.Merge(res.Msg.GetMembers())
@@ -154,7 +185,7 @@
 	for _, r := range res.Msg.GetReports() {
 		n.services.hear(r)
 	}
-	n.duty.hearKinds(res.Msg.GetKinds())
+	n.duty.hearKinds(res.Msg.GetKinds(), "")
 	return true
 }
 
--- a/node/records.go
+++ b/node/records.go
@@ -110,7 +110,10 @@
 			n.log.WithFields(logrus.Fields{"event": "route_refused", "version": t.Version, "from": from, "error": err}).Error()
 		}
 		n.metrics.stateVersion(uint64(t.Version))
-		n.log.WithFields(logrus.Fields{"event": "state_in_force", "version": t.Version, "from": from, "routes": len(t.Routes())}).Warn()
+		n.log.WithFields(logrus.Fields{
+			"event": "state_in_force", "version": t.Version, "from": from, "routes": len(t.Routes()),
+			"bytes": len(x.Value), "read_ms": n.clock.Now() - x.At, "behind_ms": n.lag.caughtUp(store.State, x.Version),
+		}).Warn()
 	}
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -36,6 +36,7 @@
 	records map[string]Record
 	goneAt  map[string]clock.Millis
 	sum     uint64
+	newest  uint64
 }
 
 // New returns an empty set.
@@ -63,6 +64,7 @@
 			delete(s.goneAt, r.Key)
 		}
 		s.sum ^= sumOf(old) ^ sumOf(r)
+		s.newest = max(s.newest, r.Version)
 		s.records[r.Key] = r
 		news = append(news, r)
 	}
@@ -117,6 +119,13 @@
 	return s.sum
 }
 
+// Newest returns the highest version of any record that was taken in, gone ones too; 0 if there was none.
+func (s *Set) Newest() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest
+}
+
 // Get returns the record of the key, if it is held and not gone.
 func (s *Set) Get(key string) (r Record, found bool) {
 	s.mu.Lock()
