Nodes that take up the watch follow on from where others hold all changes, and a large answer is as old as its first byte

Cause, found while looking for the same class elsewhere: a node whose word of the store was overdue read the whole state and all targets anew, though it held them: 1.4 MB for 5,600 routes on each node that doubted. A confirmation now carries the mark up to which the records with its sum hold all changes; who holds the same sum follows on from there, and reads all only after a gap. Where the word is overdue, the question does not wait, so that others do not take it up as well. What an answer says is dated by its first byte, not by its end; with answers that may take seconds, the hall would have been told of too young a word.

TestTakingUpTheDutyReadsNothingAgain: no read by those that take up the watch of three nodes that end (2 each before).

--- a/node/duty.go
+++ b/node/duty.go
@@ -19,6 +19,8 @@
 const (
 	// watchWait is how long a watcher's question to the store waits for changes.
 	watchWait clock.Millis = 1300
+	// askAtOnce is the wait of a question to which the answer is wanted at once.
+	askAtOnce clock.Millis = 1
 	// confirmEvery is how often a watcher tells its hall what the store holds.
 	confirmEvery clock.Millis = 300
 	// repairEvery is how often each node compares itself with another by chance, and passNews how
@@ -61,17 +63,21 @@
 	// confirmed is when the store was last known to hold nothing newer of a kind, whoever asked it.
 	confirmed map[store.Kind]clock.Millis
 	// asked is when this node asked for it itself.
-	asked  map[store.Kind]clock.Millis
+	asked map[store.Kind]clock.Millis
+	// marks are up to where this node holds all changes, from the store or by another's word.
+	marks  map[store.Kind]store.Mark
 	deafAt map[ident.Process]clock.Millis
 	told   clock.Millis
 	passed clock.Millis
 	failed bool
+	// gap says that the store has forgotten the changes after the state that this node holds.
+	gap bool
 }
 
 func newDuty(n *Node) *duty {
 	return &duty{
 		node: n, since: n.clock.Now(), patience: patienceOf(n), confirmed: map[store.Kind]clock.Millis{},
-		asked: map[store.Kind]clock.Millis{}, deafAt: map[ident.Process]clock.Millis{},
+		asked: map[store.Kind]clock.Millis{}, marks: map[store.Kind]store.Mark{}, deafAt: map[ident.Process]clock.Millis{},
 	}
 }
 
@@ -132,24 +138,19 @@
 
 // watch follows a kind of records for as long as this node has the duty.
 func (d *duty) watch(ctx context.Context, k store.Kind) {
-	var mark store.Mark
-	var last clock.Millis
 	wait := retryFirst
 	for ctx.Err() == nil {
 		if !d.wanted(k) {
 			pause(ctx, dutyCheck)
 			continue
 		}
-		if d.node.clock.Now()-last > 2*watchWait {
-			mark = 0 // others may have seen what is no longer in the feed
-		}
-		next, err := d.ask(ctx, k, mark)
+		next, at, err := d.ask(ctx, k, d.mark(k))
 		switch {
 		case err == nil:
-			mark, wait, last = next, retryFirst, d.node.clock.Now()
-			d.answered(k)
+			wait = retryFirst
+			d.answered(k, next, at)
 		case errors.Is(err, store.ErrGap):
-			mark = 0
+			d.forgetMark(k)
 			d.node.log.WithFields(logrus.Fields{"event": "store_gap", "kind": k}).Warn()
 		default:
 			d.lost(k, err)
@@ -159,8 +160,38 @@
 	}
 }
 
-// ask reads all records of the kind if there is no mark, or follows it, and spreads what is new.
-func (d *duty) ask(ctx context.Context, k store.Kind, m store.Mark) (next store.Mark, err error) {
+// mark returns up to where this node holds all changes of the kind; 0 if it must read all. The state is one
+// record, of which the newest version is all there is up to it.
+func (d *duty) mark(k store.Kind) store.Mark {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.marks[k]
+	if k == store.State && !d.gap {
+		m = max(m, store.Mark(d.node.records.sets[k].Newest()))
+	}
+	return m
+}
+
+// forgetMark has this node read all again, since the store no longer knows what changed after its mark.
+func (d *duty) forgetMark(k store.Kind) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.marks, k)
+	d.gap = d.gap || k == store.State
+}
+
+// waitFor is how long a question for changes waits: not at all where word of the store is overdue, so that the
+// others do not take up the duty as well.
+func (d *duty) waitFor(k store.Kind) clock.Millis {
+	if d.age(k) > watchWait {
+		return askAtOnce
+	}
+	return watchWait
+}
+
+// ask reads all records of the kind if there is no mark, or follows it, and spreads what is new. It returns up to
+// where this node holds all changes now, and when that was so: a large answer is old when its end has come.
+func (d *duty) ask(ctx context.Context, k store.Kind, m store.Mark) (next store.Mark, at clock.Millis, err error) {
 	n := d.node
 	var list, news []replica.Record
 	n.metrics.storeCall(k, m > 0)
@@ -170,17 +201,21 @@
 			news = n.records.replace(k, list, next, fromStore)
 		}
 	} else {
-		list, next, err = n.source.Follow(ctx, k, m, watchWait)
+		list, next, err = n.source.Follow(ctx, k, m, d.waitFor(k))
 		if err == nil {
 			news = n.records.put(k, list, fromStore)
 		}
 	}
+	at = n.clock.Now()
+	if len(list) > 0 {
+		at = list[0].At
+	}
 	if err != nil || len(news) == 0 {
-		return next, err
+		return next, at, err
 	}
 	d.spread(k, news)
 	pause(ctx, settle)
-	return next, nil
+	return next, at, nil
 }
 
 // look reads the kind from the store at once, since something was just written there.
@@ -188,7 +223,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), lookTimeout.Duration())
 		defer cancel()
-		if _, err := d.ask(ctx, k, 0); err != nil {
+		if _, _, err := d.ask(ctx, k, 0); err != nil {
 			d.node.log.WithFields(logrus.Fields{"event": "store_unread", "kind": k, "error": err}).Warn()
 		}
 	}()
@@ -197,13 +232,14 @@
 // lookTimeout bounds a look at the store.
 const lookTimeout = 2 * clock.Second
 
-// answered notes that the store answered this node.
-func (d *duty) answered(k store.Kind) {
+// answered notes that the store answered this node, up to where that has all changes, and when that was so.
+func (d *duty) answered(k store.Kind, m store.Mark, at clock.Millis) {
 	d.mu.Lock()
-	now := d.node.clock.Now()
+	d.marks[k] = max(d.marks[k], m)
+	d.gap = d.gap && k != store.State
 	regained := d.failed
 	d.failed = false
-	d.confirmed[k], d.asked[k] = now, now
+	d.confirmed[k], d.asked[k] = max(d.confirmed[k], at), d.node.clock.Now()
 	delete(d.deafAt, d.node.self)
 	d.mu.Unlock()
 	if regained {
@@ -284,13 +320,15 @@
 func (d *duty) kindSums() []*tlv1.KindSum {
 	var list []*tlv1.KindSum
 	for _, k := range d.node.kinds() {
-		set := d.node.records.sets[k]
-		s := &tlv1.KindSum{Kind: string(k), Sum: set.Sum(), AgeMs: never, Newest: set.Newest()}
+		s := &tlv1.KindSum{Kind: string(k), AgeMs: never}
 		d.mu.Lock()
+		s.Mark = uint64(d.marks[k]) // before the sum: what comes in between is no part of a later mark
 		if at := d.confirmed[k]; at > 0 {
 			s.AgeMs = int64(d.node.clock.Now() - at)
 		}
 		d.mu.Unlock()
+		set := d.node.records.sets[k]
+		s.Sum, s.Newest = set.Sum(), set.Newest()
 		list = append(list, s)
 	}
 	return list
@@ -338,6 +376,7 @@
 		}
 		d.mu.Lock()
 		d.confirmed[k] = max(d.confirmed[k], now-clock.Millis(s.GetAgeMs()))
+		d.marks[k] = max(d.marks[k], store.Mark(s.GetMark()))
 		d.mu.Unlock()
 	}
 	return same
--- a/node/large_state_test.go
+++ b/node/large_state_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/tinladder/tinladder/platform/standin"
 )
 
@@ -120,3 +121,44 @@
 		}
 	}
 }
+
+// TestTakingUpTheDutyReadsNothingAgain ends the nodes that watch the store. Those that take up their duty know from
+// them up to where they hold all changes, and must not read a large state, or the targets, again.
+func TestTakingUpTheDutyReadsNothingAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 9)
+	f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	f.grown(4, 2000, false)
+	for _, n := range f.nodes {
+		f.eventually(n.name+" has the large state", func() bool { return inForce(n, 4) })
+	}
+	time.Sleep(3 * time.Second) // the duty is settled, and the marks are told
+	before := map[string]standin.Usage{}
+	for _, n := range f.nodes {
+		before[n.name] = n.door.Usage()
+	}
+	time.Sleep(2 * time.Second)
+	left := f.nodes[:0:0]
+	for _, n := range f.nodes {
+		if n.door.Usage().Feeds > before[n.name].Feeds+1 {
+			n.node.Close()
+			continue
+		}
+		left = append(left, n)
+	}
+	is.True(len(left) < len(f.nodes)) // there were nodes that watched
+	f.nodes = left
+	time.Sleep(3 * time.Second) // others have taken up the duty
+	feeds := 0
+	for _, n := range left {
+		u := n.door.Usage()
+		feeds += u.Feeds - before[n.name].Feeds
+		is.Equal(u.Reads, before[n.name].Reads)
+	}
+	is.True(feeds >= 3)
+	acked := f.grown(5, 2000, true)
+	_, late := f.inForceWithin(5, acked, 3*time.Second)
+	is.Equal(len(late), 0)
+}
