--- a/node/large_state_test.go
+++ b/node/large_state_test.go
@@ -3,11 +3,20 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/delta"
 	"github.com/tinladder/tinladder/platform/standin"
+	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+	"github.com/tinladder/tinladder/schema/tinladder/v1/tinladderv1connect"
+	"github.com/tinladder/tinladder/store"
+	"google.golang.org/protobuf/proto"
 )
 
 // Symptom: in a fleet of 118 nodes, most of them with links of 10 Mbit/s, one node served and refused by an
@@ -188,3 +197,94 @@
 		is.Equal(asked > 1, i >= 3 && i < 6)
 	}
 }
+
+// TestLargeStateReachesNodesThatTheStoreTurnsAway has the store turn half of the nodes away, a whole hall among
+// them, while a large state changes. The others hand it on to them.
+func TestLargeStateReachesNodesThatTheStoreTurnsAway(t *testing.T) {
+	f := newFleetOnLinks(t, 18, 300_000)
+	f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	time.Sleep(time.Second) // the duty is settled
+	for i, n := range f.nodes {
+		if i%3 == 0 || i%3 == 1 && i%2 == 0 {
+			n.door.SetFaults(standin.Faults{Away: standin.Busy})
+		}
+	}
+	for step, routes := range []int{700, 1400} {
+		version := 4 + step
+		last, late := f.inForceWithin(version, f.grown(version, routes, false), 2500*time.Millisecond)
+		t.Logf("version %d, %d routes more: on all nodes after %v", version, routes, last)
+		if late != nil {
+			t.Errorf("version %d is not in force after %v on %v", version, last, late)
+		}
+	}
+}
+
+// TestLargeRecordsAreHandedToAFewAtATime asks one node for a large state ten times at once, as nodes would that
+// hold no version, the newest one, or one that nobody knows.
+func TestLargeRecordsAreHandedToAFewAtATime(t *testing.T) {
+	is := is.New(t)
+	f := newFleetOnLinks(t, 1, 300_000)
+	f.target("i-1", "desk")
+	f.grown(3, 1400, false)
+	f.ready(3, 1)
+	c := tinladderv1connect.NewFleetServiceClient(f.http, "http://"+f.nodes[0].peersAt)
+	pull := func(held uint64, from string) *tlv1.PullResponse {
+		res, err := c.Pull(t.Context(), connect.NewRequest(&tlv1.PullRequest{Kind: string(store.State), Held: held, PeerAddress: from}))
+		is.NoErr(err)
+		return res.Msg
+	}
+	var given, busy int
+	for i := range 10 {
+		res := pull(0, fmt.Sprint("10.0.0.", i, ":7002"))
+		switch {
+		case res.GetBusy():
+			busy++
+			is.True(res.GetRecord() == nil)
+			is.Equal(res.GetHolders()[0][:7], "10.0.0.") // it names those that were served
+		default:
+			given++
+			is.True(len(res.GetRecord().GetPacked()) < 60_000)
+			is.Equal(res.GetRecord().GetBase(), uint64(0))
+		}
+	}
+	is.True(given >= 1 && given <= 3) // half of the link for 0.1 s ahead
+	is.True(busy >= 7)
+	newest := pull(0, "").GetRecord().GetVersion()
+	time.Sleep(time.Second)
+	got := pull(1_000_000-1, "10.0.0.11:7002") // held by nobody, and newer than all
+	is.True(got.GetRecord() == nil && !got.GetBusy())
+	is.Equal(pull(0, "10.0.0.12:7002").GetRecord().GetVersion() > 0, true) // the link is free again
+	is.Equal(newest, uint64(0))                                            // that one was turned away
+}
+
+// TestPackedRecordsThatCannotBeReadChangeNothing sends a node records packed against a version that it does not
+// hold, and garbage.
+func TestPackedRecordsThatCannotBeReadChangeNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	n := f.nodes[0]
+	to, err := net.Dial("udp", n.peersAt)
+	is.NoErr(err)
+	defer func() { _ = to.Close() }()
+	whole, err := delta.Pack(nil, []byte("no state at all"))
+	is.NoErr(err)
+	for _, x := range []*tlv1.Record{
+		{Key: "config", Version: 1000, Packed: whole, Base: 999},
+		{Key: "config", Version: 1001, Packed: []byte("garbage")},
+		{Key: "config", Version: 1002, Packed: whole, Check: 1},
+	} {
+		raw, err := proto.Marshal(&tlv1.Parcel{Body: &tlv1.Parcel_Records{Records: &tlv1.Records{Kind: string(store.State), Records: []*tlv1.Record{x}}}})
+		is.NoErr(err)
+		_, err = to.Write(raw)
+		is.NoErr(err)
+	}
+	f.eventually("all are in the log", func() bool { return strings.Count(n.log.String(), "event=record_unreadable") == 3 })
+	is.Equal(f.call(n, http.MethodGet, "/get/", "x", "").status, http.StatusOK)
+	f.calm(4)
+	f.eventually("the next state is in force", func() bool { return inForce(n, 4) })
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -193,7 +193,8 @@
 	n.metrics.synced(err == nil, int(guard.Read()))
 	if err != nil {
 		n.log.WithFields(logrus.Fields{
-			"event": "sync_failed", "address": address, "ms": n.clock.Now() - begun, "bytes": guard.Read(), "error": err,
+			"event": "sync_failed", "address": address, "ms": n.clock.Now() - begun, "bytes": guard.Read(),
+			"error": err, "cause": context.Cause(ctx),
 		}).Info()
 		return false
 	}
--- a/node/pull.go
+++ b/node/pull.go
@@ -151,7 +151,8 @@
 	if err != nil {
 		if context.Cause(ctx) != context.Canceled {
 			n.log.WithFields(logrus.Fields{
-				"event": "pull_failed", "address": address, "ms": n.clock.Now() - begun, "bytes": guard.Read(), "error": err,
+				"event": "pull_failed", "address": address, "ms": n.clock.Now() - begun, "bytes": guard.Read(),
+				"error": err, "cause": context.Cause(ctx),
 			}).Info()
 		}
 		p.drop(address)
