Soak: the desired state grows and shrinks, and nodes have links of 4 Mbit/s

The incident's class was out of the soak's reach: its states had four routes, and loopback carries all at once. Each version now has 0 to 900 routes more (240 KB from the store at most, half a second of a link), over an emulated link that all of a node's peers and its way to the store share.

--- a/soak/world.go
+++ b/soak/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -27,6 +28,12 @@
 	takes = 50 * time.Millisecond
 	// history is how long the stand-in's store keeps changes.
 	history = 20 * clock.Second
+	// linkBytes is how many bytes a second a node's link to other nodes and to the store carries each way.
+	linkBytes = 500_000
+	// growth is how many routes more each version of the desired state has than the one before, and grownMost
+	// after how many versions it begins anew: 1,000 routes are 240 KB from the store, half a second of a link.
+	growth    = 100
+	grownMost = 10
 )
 
 // A span of time; one that goes on has no end yet.
@@ -143,6 +150,8 @@
 	store   *standin.Store
 	nodes   []*process
 	servers []*http.Server
+	// ways are the nodes' ways to the store, over their links.
+	ways []net.Listener
 
 	mu      sync.Mutex
 	targets []*backend
@@ -186,7 +195,10 @@
 	return w, nil
 }
 
-const halls = 3
+const (
+	halls       = 3
+	bitsPerByte = 8
+)
 
 // services are what the routes lead to.
 var services = []string{"desk", "clerk"}
@@ -223,12 +235,23 @@
 	if v > 1 {
 		routes = append(routes, route("before", versionPath(v-1), standin.Repeatable, services[0]))
 	}
+	routes = append(routes, idleRoutes(int(v%grownMost)*growth)...)
 	w.store.Configure(v, services, routes...)
 	w.mu.Lock()
 	w.acked[v] = time.Now()
 	w.mu.Unlock()
 }
 
+// idleRoutes returns routes that no caller uses, the same at each call.
+func idleRoutes(count int) []standin.RouteRow {
+	draw := rand.New(rand.NewPCG(1, 1))
+	list := make([]standin.RouteRow, count)
+	for i := range list {
+		list[i] = route(fmt.Sprintf("r-%07x", draw.Uint32()>>4), fmt.Sprintf("/%08x/", draw.Uint32()), standin.RunOnce, services[1])
+	}
+	return list
+}
+
 // newest returns the newest version, and when the store took it.
 func (w *world) newest() (version uint64, at time.Time) {
 	w.mu.Lock()
@@ -247,12 +270,12 @@
 	}
 }
 
-// newRelay returns a relay to a node, with all addresses that the node needs: those of callers,
+// newRelay returns a relay to a node over its link, with all addresses that the node needs: those of callers,
 // readiness, the relay, and peers.
-func newRelay() (r *emulate.Relay, free []string, err error) {
+func newRelay(link *emulate.Link) (r *emulate.Relay, free []string, err error) {
 	for range bindTries {
 		free = emulate.Addresses(4)
-		if r, err = emulate.NewRelay(free[2], free[3], free[2], free[3]); err == nil {
+		if r, err = link.Relay(free[2], free[3], free[2], free[3]); err == nil {
 			return r, free, nil
 		}
 	}
@@ -263,7 +286,8 @@
 const bindTries = 5
 
 func (w *world) addNode(i int) error {
-	relay, free, err := newRelay()
+	link := emulate.NewLink(linkBytes)
+	relay, free, err := newRelay(link)
 	if err != nil {
 		return err
 	}
@@ -279,6 +303,11 @@
 	go func() { _ = s.Serve(l) }()
 	w.servers = append(w.servers, s)
 	w.nodes = append(w.nodes, p)
+	way, err := link.Outwards(l.Addr().String())
+	if err != nil {
+		return err
+	}
+	w.ways = append(w.ways, way)
 	text := fmt.Sprintf(`
 [node]
 name = %q
@@ -293,7 +322,9 @@
 grace = "%dms"
 [retries]
 slack = %d
-`, p.name, i%halls, p.callers, p.ready, free[3], free[2], l.Addr(), grace.Milliseconds(), budgetSlack)
+[capacity]
+link_mbps = %d
+`, p.name, i%halls, p.callers, p.ready, free[3], free[2], way.Addr(), grace.Milliseconds(), budgetSlack, linkBytes*bitsPerByte/1_000_000)
 	return os.WriteFile(p.settings+".part", []byte(text), 0o600)
 }
 
@@ -348,6 +379,9 @@
 		}
 		p.relay.Close()
 	}
+	for _, l := range w.ways {
+		_ = l.Close()
+	}
 	for _, s := range w.servers {
 		_ = s.Close()
 	}
