--- a/node/duty.go
+++ b/node/duty.go
@@ -430,8 +430,8 @@
 	d.announce()
 }
 
-// spreadState tells all of a state that is small, as it is or as what has changed, and others those who should
-// ask for it first.
+// spreadState sends a small state, or what has changed if that is small, to all. Of a large one it tells this
+// node's hall and a few others, who ask for it.
 func (d *duty) spreadState(news []replica.Record) {
 	n := d.node
 	if len(news[0].Value) <= bytesPerParcel {
@@ -441,7 +441,7 @@
 	}
 	x, err := n.handOn.change()
 	if err != nil {
-		n.log.WithFields(logrus.Fields{"event": "state_unpacked", "error": err}).Error()
+		n.log.WithFields(logrus.Fields{"event": "state_not_packed", "error": err}).Error()
 	}
 	if x != nil && len(x.GetPacked()) <= smallRecord {
 		d.sendRecords(&tlv1.Records{Kind: string(store.State), Records: []*tlv1.Record{x}}, d.all())
--- a/node/handon.go
+++ b/node/handon.go
@@ -39,8 +39,8 @@
 var errNoBase = errors.New("record is packed against a version that is not held")
 
 // handOn gives the newest version of the desired state to other nodes: as what has changed since the version
-// that they hold, and to a few at a time. 118 nodes with links of 10 Mbit/s have 5,600 routes in force in
-// the time that 2,800 took when states went whole to all that asked.
+// that they hold, and to a few at a time. Of 118 nodes with links of 10 Mbit/s, the last one is behind a state
+// that grows to 5,600 routes for 0.8 s at most (a played day), and for 19.5 s if states go whole to all that ask.
 type handOn struct {
 	clock clock.Clock
 	// bytesPerMilli is what records may take of the link.
@@ -79,8 +79,7 @@
 	h.served = nil
 }
 
-// newest returns the newest version packed for a node that holds the other one; nil if there is none that is
-// newer than that.
+// newest returns the newest version, packed for a node that holds another one; nil if that is no older.
 func (h *handOn) newest(held uint64) (*tlv1.Record, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
