A node that has got a version goes on at once to the newer one that it knows of

Found on reading the diff: a search ended with the first record that came, also if a newer one was known by then; the next confirmation, up to 0.3 s later, began another.

--- a/node/pull.go
+++ b/node/pull.go
@@ -97,9 +97,9 @@
 	for address != "" && ctx.Err() == nil {
 		if p.ask(ctx, address) {
 			p.endAll()
-			return
+		} else {
+			pause(ctx, pullPause+rand.N(pullPauseMore))
 		}
-		pause(ctx, pullPause+rand.N(pullPauseMore))
 		address = p.next(address)
 	}
 }
@@ -111,7 +111,7 @@
 	p.asking = slices.DeleteFunc(p.asking, func(x *search) bool { return x == s })
 }
 
-// endAll ends the other searches too, once one has brought what is wanted.
+// endAll ends all searches, once one has brought what is wanted.
 func (p *pulls) endAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
