A tenth of failures is deep trouble, however few the requests

Cause: deep trouble began at 8% and two standard deviations, so for a service of less than 736 requests in the window above the tenth from which on the platform holds it to its floor (46 failures of 432). Now at 9.8% at the latest.

--- a/pool/explore.go
+++ b/pool/explore.go
@@ -102,7 +102,8 @@
 	s := p.lately(now)
 	some = s.asked >= minTroubled && float64(s.unserved) > p.tuning.TroubleShare*float64(s.asked)
 	share, asked := p.tuning.FloorShare, float64(s.asked)
-	deep = float64(s.failed) > share*asked+deviations*math.Sqrt(share*(1-share)*asked)
+	byChance := share*asked + deviations*math.Sqrt(share*(1-share)*asked)
+	deep = float64(s.failed) > min(byChance, p.tuning.FloorLimit*asked)
 	return some, deep
 }
 
--- a/pool/tuning.go
+++ b/pool/tuning.go
@@ -52,8 +52,10 @@
 	// FloorShare is somewhat less than the share of failures, a tenth, from which on the platform holds
 	// the service to its floor: a target that failed counts as sound again after SoundAgain (2 s there),
 	// and must be given work.
-	FloorShare float64
-	SoundAgain clock.Millis
+	// FloorLimit is the share from which on failures count whether they may be chance or not: just under that
+	// tenth, which a service of 432 requests in the window passes before they can be no chance.
+	FloorShare, FloorLimit float64
+	SoundAgain             clock.Millis
 	// FailTimeMost bounds the time until a failure shows, in service times: by then another attempt is
 	// made. 0 has failures show at once.
 	FailTimeMost float64
@@ -92,6 +94,7 @@
 	TroubleShare:     0.07,
 	TroubleWindow:    2000,
 	FloorShare:       0.08,
+	FloorLimit:       0.098,
 	SoundAgain:       1800,
 	FailTimeMost:     2,
 	QueueTime:        true,
--- a/pool/without.go
+++ b/pool/without.go
@@ -18,7 +18,7 @@
 	"joined":       func(t *Tuning) { t.JoinWait = off },
 	"spare":        func(t *Tuning) { t.Reserve = math.Inf(1) },
 	"spread":       func(t *Tuning) { t.TroubleShare = math.Inf(1) },
-	"deep-trouble": func(t *Tuning) { t.FloorShare = 1; t.SoundAgain = off },
+	"deep-trouble": func(t *Tuning) { t.FloorShare, t.FloorLimit, t.SoundAgain = 1, 1, off },
 	"overcommit":   func(t *Tuning) { t.Overcommit = 0 },
 	"hold":         func(t *Tuning) { t.Hold = 0 },
 	"load":         func(t *Tuning) { t.LoadCost = 0 },
