--- a/pool/pool.go
+++ b/pool/pool.go
@@ -100,8 +100,6 @@
 	// blockedUntil is until when this node passes the target over, since it cannot reach it.
 	blockedUntil clock.Millis
 	blocks       int
-	// cutAt is when another node last said that it cannot connect to the target.
-	cutAt clock.Millis
 	// avoided says that the target is thought to be failing, kept that it is used all the same, since
 	// the floor needs its slots.
 	avoided, kept bool
--- a/pool/share.go
+++ b/pool/share.go
@@ -112,9 +112,6 @@
 	if s.GetInFlight() > 0 {
 		t.usedAt = now
 	}
-	if s.GetUnreachable() {
-		t.cutAt = now
-	}
 	was.failed = s.GetFailed()
 	was.inFlight = int(s.GetInFlight())
 	was.at = now
