--- a/node/large_state_test.go
+++ b/node/large_state_test.go
@@ -30,7 +30,7 @@
 // had been read was thrown away and asked for again. Nodes that held the newer state asked those that lagged
 // for the older one, too, so that the link of a node that lagged was full of what nobody needed.
 //
-// Settled by: event=store_lost "rows-get: after 999348 bytes: context deadline exceeded" on the node that
+// Settled by: event=store_lost "after 999348 bytes: context deadline exceeded" on the node that
 // lagged, and 2,957 lines of event=sync_failed ms=400 in the fleet, 2,666 of them with bytes=0, 434 of them with
 // the address of one node; event=state_behind showed that the node knew.
 
