Watchers tell their own hall; a store that turns nodes away is searched at a bounded pace

Records go to the sender's hall and two nodes of each other one, who tell theirs. Words by chance stay in the hall three times in four, and an older set of another hall is no reason to compare. Ruled out: a longer pause alone (the node that the store still answers would be found late).

--- /dev/null
+++ b/node/confirm.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/ident"
+	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+	"github.com/tinladder/tinladder/store"
+	"github.com/tinladder/tinladder/watcher"
+)
+
+// nearPasses is how many of so many words to others by chance stay in the hall: bytes between halls cost the most.
+const nearPasses, passes = 3, 4
+
+// tick tells the hall now and then what the store holds, for as long as this node watches, and a node of each
+// other hall, which may have nobody that the store answers.
+func (d *duty) tick() {
+	d.mu.Lock()
+	now := d.node.clock.Now()
+	watching := false
+	for _, at := range d.asked {
+		watching = watching || now-at < watchWait+watcher.StaleAfter
+	}
+	due := watching && now-d.told >= confirmEvery
+	repair := now-d.passed >= repairEvery
+	if repair {
+		d.passed = now
+	}
+	d.mu.Unlock()
+	if due {
+		d.confirm()
+		d.tell(d.strangers())
+	}
+	if repair {
+		d.pass(1)
+	}
+}
+
+// confirm tells this node's hall what is known of the store.
+func (d *duty) confirm() {
+	d.mu.Lock()
+	d.told = d.node.clock.Now()
+	d.mu.Unlock()
+	d.tell(d.near())
+}
+
+// near returns where the other nodes of this hall hear datagrams.
+func (d *duty) near() []string {
+	n := d.node
+	return gossipAddresses(n.members.Live(), func(m *tlv1.Member) bool { return hallOf(m) == n.hall() })
+}
+
+// byHall returns the nodes of each other hall.
+func (d *duty) byHall() map[ident.Hall][]*tlv1.Member {
+	list := map[ident.Hall][]*tlv1.Member{}
+	for _, m := range d.node.members.Live() {
+		if hall := hallOf(m); hall != d.node.hall() && isReady(m) {
+			list[hall] = append(list[hall], m)
+		}
+	}
+	return list
+}
+
+// strangers returns where one node of each other hall, by chance, hears datagrams.
+func (d *duty) strangers() []string {
+	var list []string
+	for _, members := range d.byHall() {
+		list = append(list, members[rand.IntN(len(members))].GetGossipAddress())
+	}
+	return list
+}
+
+// relays returns where the nodes hear datagrams that tell their halls what other halls know: the first of each
+// hall's watchers, and one by chance, since the first may have ended just now.
+func (d *duty) relays() []string {
+	list := d.strangers()
+	for _, members := range d.byHall() {
+		weights := map[ident.Node]uint32{}
+		for _, m := range members {
+			weights[ident.Node(m.GetNode())] = m.GetWeight()
+		}
+		first := watcher.First(weights)
+		for _, m := range members {
+			if ident.Node(m.GetNode()) == first && !slices.Contains(list, m.GetGossipAddress()) {
+				list = append(list, m.GetGossipAddress())
+			}
+		}
+	}
+	return list
+}
+
+// pass tells a few nodes by chance what this one holds, so that news goes on where a watcher's word
+// was lost.
+func (d *duty) pass(count int) {
+	n := d.node
+	near := rand.IntN(passes) < nearPasses
+	live := slices.DeleteFunc(slices.Clone(n.members.Live()), func(m *tlv1.Member) bool { return near && hallOf(m) != n.hall() })
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	d.tell(gossipAddresses(live[:min(count, len(live))], func(*tlv1.Member) bool { return true }))
+}
+
+func (d *duty) tell(addresses []string) {
+	n := d.node
+	n.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Confirm{Confirm: &tlv1.Confirm{
+		Node: string(n.self.Node), Incarnation: uint64(n.self.Incarnation), Hall: string(n.hall()),
+		PeerAddress: n.settings().Node.PeersAddress(), Kinds: d.kindSums(), Deaf: d.hall.Deaf(),
+	}}}, addresses...)
+}
+
+// kindSums says what this node holds of each kind that it follows.
+func (d *duty) kindSums() []*tlv1.KindSum {
+	var list []*tlv1.KindSum
+	for _, k := range d.node.kinds() {
+		s := &tlv1.KindSum{Kind: string(k), AgeMs: never}
+		d.mu.Lock()
+		s.Mark = uint64(d.marks[k]) // before the sum: what comes in between is no part of a later mark
+		if at := d.confirmed[k]; at > 0 {
+			s.AgeMs = int64(d.node.clock.Now() - at)
+		}
+		d.mu.Unlock()
+		set := d.node.records.sets[k]
+		s.Sum, s.Newest = set.Sum(), set.Newest()
+		list = append(list, s)
+	}
+	return list
+}
+
+// hear takes in another node's word on the store.
+func (d *duty) hear(c *tlv1.Confirm) {
+	p := ident.Process{Node: ident.Node(c.GetNode()), Incarnation: ident.Incarnation(c.GetIncarnation())}
+	if p.Node == d.node.self.Node {
+		return
+	}
+	far := ident.Hall(c.GetHall()) != d.node.hall()
+	if !far {
+		d.hall.Heard(p, c.GetDeaf())
+	}
+	if !d.hearKinds(c.GetKinds(), c.GetPeerAddress(), far) {
+		d.node.peers.sync(c.GetPeerAddress(), false)
+	}
+}
+
+// hearKinds takes in how long ago the store held what the node at the address holds. It returns false if this
+// one should compare its records with that. A newer state is asked for; an older one is nothing to ask for, and
+// neither are older records of another hall.
+func (d *duty) hearKinds(kinds []*tlv1.KindSum, address string, far bool) bool {
+	same := true
+	now := d.node.clock.Now()
+	for _, s := range kinds {
+		k := store.Kind(s.GetKind())
+		if !slices.Contains(d.node.kinds(), k) {
+			continue
+		}
+		d.node.lag.heard(k, s.GetNewest(), address)
+		if set := d.node.records.sets[k]; set.Sum() != s.GetSum() {
+			if k == store.State {
+				d.node.pulls.want(s.GetNewest(), address)
+			} else if !far || s.GetNewest() >= set.Newest() {
+				same = false
+			}
+			continue
+		}
+		if s.GetAgeMs() == never {
+			continue
+		}
+		d.mu.Lock()
+		d.confirmed[k] = max(d.confirmed[k], now-clock.Millis(s.GetAgeMs()))
+		d.marks[k] = max(d.marks[k], store.Mark(s.GetMark()))
+		d.mu.Unlock()
+	}
+	return same
+}
+
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -45,6 +45,8 @@
 type testNode struct {
 	name, hall                           string
 	callers, peers, readiness, directory string
+	// metrics is where the node serves what it counts.
+	metrics string
 	// peersAt is where the node listens for others, if a relay stands before it.
 	peersAt string
 	link    *emulate.Link
@@ -102,8 +104,9 @@
 	f.http = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 16}}
 	for i := range nodes {
 		n := &testNode{name: fmt.Sprint("n", i), hall: fmt.Sprint("h", i%3), door: standin.NewDoor(f.store), log: &lines{}}
-		free := emulate.Addresses(5)
+		free := emulate.Addresses(6)
 		n.callers, n.peers, n.readiness, n.directory, n.peersAt = free[0], free[1], free[2], free[3], free[1]
+		n.metrics = free[5]
 		if f.more != nil {
 			n.more = f.more(i)
 		}
@@ -162,6 +165,7 @@
 advertise_peers = %q
 readiness = %q
 directory = %q
+metrics = %q
 [store]
 address = %q
 [fleet]
@@ -169,7 +173,7 @@
 [bounds]
 grace = "2s"
 %s
-`, n.name, n.hall, n.callers, n.peersAt, n.peers, n.readiness, n.directory, address, seeds, more+n.more)
+`, n.name, n.hall, n.callers, n.peersAt, n.peers, n.readiness, n.directory, n.metrics, address, seeds, more+n.more)
 }
 
 func (f *fleet) start(n *testNode) {
--- a/node/leave.go
+++ b/node/leave.go
@@ -63,7 +63,7 @@
 	n.log.WithFields(logrus.Fields{"event": "leaving", "node": n.self.Node, "grace_ms": grace, "in_flight": l.busy.Load()}).Warn()
 	l.begun.Store(true)
 	n.sendGossip(n.members.Leave())
-	n.duty.announce()
+	n.duty.confirm()
 	begin := n.clock.Now()
 	for n.clock.Now()-begin < grace*acceptShare/hundredths {
 		time.Sleep(leaveCheck.Duration())
--- a/node/peers.go
+++ b/node/peers.go
@@ -205,7 +205,7 @@
 	for _, r := range res.Msg.GetReports() {
 		n.services.hear(r)
 	}
-	n.duty.hearKinds(res.Msg.GetKinds(), address)
+	n.duty.hearKinds(res.Msg.GetKinds(), address, n.far(address))
 	return true
 }
 
--- a/node/records.go
+++ b/node/records.go
@@ -246,7 +246,11 @@
 			Key: x.GetKey(), Version: x.GetVersion(), Gone: x.GetGone(), Value: value, At: now - clock.Millis(x.GetAgeMs()),
 		})
 	}
-	r.put(store.Kind(m.GetKind()), list, from)
+	k := store.Kind(m.GetKind())
+	news := r.put(k, list, from)
+	if m.GetHall() != "" && ident.Hall(m.GetHall()) != r.node.hall() && len(news) > 0 {
+		r.node.duty.forward(k, news)
+	}
 }
 
 // valueOf returns a record's value, also of one that was packed.
--- /dev/null
+++ b/node/spread.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"slices"
+
+	"github.com/sirupsen/logrus"
+	"github.com/tinladder/tinladder/replica"
+	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+	"github.com/tinladder/tinladder/store"
+)
+
+const (
+	// recordsPerParcel and bytesPerParcel bound one datagram of records.
+	recordsPerParcel = 8
+	bytesPerParcel   = 4 << 10
+	// strangersTold is how many more nodes a watcher tells of a large record, besides its own hall: each hall has a
+	// watcher of its own.
+	strangersTold = 4
+)
+
+// spread tells this hall, and a few nodes of each other one, of records that the store had. A node that does not
+// watch tells of its sums alone: each hall has one that does, and if all that ask for themselves sent what they
+// find to all, a store that comes back would have as many copies sent as there are pairs of nodes.
+func (d *duty) spread(k store.Kind, news []replica.Record) {
+	if d.rank() > 0 && k != store.State {
+		d.confirm()
+		return
+	}
+	d.send(k, news, append(d.near(), d.relays()...))
+	d.tell(d.relays())
+}
+
+// forward tells this hall of records that another hall's watcher told this node of.
+func (d *duty) forward(k store.Kind, news []replica.Record) {
+	d.send(k, news, d.near())
+}
+
+// send sends records, and tells this hall of their sums.
+func (d *duty) send(k store.Kind, news []replica.Record, to []string) {
+	if k == store.State {
+		d.sendState(news, to)
+	} else {
+		d.sendParts(k, news, to)
+	}
+	d.confirm()
+}
+
+// sendParts sends records in parts of the size of a datagram. Large ones are asked for by those that lack them.
+func (d *duty) sendParts(k store.Kind, news []replica.Record, to []string) {
+	for part := range slices.Chunk(news, recordsPerParcel) {
+		size := 0
+		for _, r := range part {
+			size += len(r.Value)
+		}
+		if size <= bytesPerParcel {
+			d.sendRecords(d.node.records.wire(k, part), to)
+		}
+	}
+}
+
+// sendState sends a small state, or what has changed if that is small. Of a large one it tells a few more nodes,
+// and those that lack it ask for it.
+func (d *duty) sendState(news []replica.Record, to []string) {
+	n := d.node
+	if len(news[0].Value) <= bytesPerParcel {
+		d.sendRecords(n.records.wire(store.State, news), to)
+		return
+	}
+	x, err := n.handOn.change()
+	if err != nil {
+		n.log.WithFields(logrus.Fields{"event": "state_not_packed", "error": err}).Error()
+	}
+	if x != nil && len(x.GetPacked()) <= smallRecord {
+		d.sendRecords(&tlv1.Records{Kind: string(store.State), Records: []*tlv1.Record{x}}, to)
+		return
+	}
+	d.pass(strangersTold)
+}
+
+func (d *duty) sendRecords(r *tlv1.Records, addresses []string) {
+	r.Hall = string(d.node.hall())
+	d.node.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Records{Records: r}}, addresses...)
+}
--- /dev/null
+++ b/node/spread_test.go
@@ -0,0 +1,90 @@
+package node_test
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/platform/standin"
+)
+
+// sum adds a metric up over all nodes, with the labels given or all.
+func (f *fleet) sum(name string) (total float64) {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		res, err := f.http.Get("http://" + n.metrics)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		text, _ := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		for line := range strings.Lines(string(text)) {
+			if key, value, _ := strings.Cut(strings.TrimSpace(line), " "); key == name || strings.HasPrefix(key, name+"{") {
+				v, _ := strconv.ParseFloat(value, 64)
+				total += v
+			}
+		}
+	}
+	return total
+}
+
+// Symptom: 127 to 448 MB a day went between halls, the dearest price of a fleet of 291 nodes. Cause: each hall's
+// watcher told all nodes of all halls of each record, and so did, once a store was back, each node that had asked
+// for itself. Settled by: bytes by kind of message and hall (event=traffic).
+
+// TestRecordsGoBetweenHallsOnce has 48 targets come, one after the other, in a fleet of 18 nodes in three halls. What
+// goes to other halls must not grow with the nodes of those.
+func TestRecordsGoBetweenHallsOnce(t *testing.T) {
+	is := is.New(t)
+	const nodes, count = 18, 48
+	f := newFleet(t, nodes)
+	f.target("i-first", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	size := 0
+	before := f.sum(`tinladder_peer_bytes_total{kind="records",far="true"}`)
+	for i := range count {
+		row := standin.TargetRow("127.0.0.1:9", "desk", "h0", "ready", 3)
+		size += len(row)
+		f.store.Put("servers", fmt.Sprint("i-", i), row)
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, n := range f.nodes {
+		f.eventually(n.name+" knows all targets", func() bool { return strings.Contains(n.log.String(), fmt.Sprintf("target=i-%d ", count-1)) })
+	}
+	sent := f.sum(`tinladder_peer_bytes_total{kind="records",far="true"}`) - before
+	t.Logf("%.0f bytes of records went between halls, for %d of records", sent, size)
+	// Each watcher tells two nodes of each other hall, 12 copies in all; it would be 36 if they told all nodes.
+	is.True(sent > 0)
+	is.True(sent < 2*float64(size))
+}
+
+// TestStoreIsAskedLittleWhileAway counts the calls of a fleet of 18 nodes while the store turns all away for 6 s, and
+// looks how soon a change is in force after.
+func TestStoreIsAskedLittleWhileAway(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 18)
+	f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	time.Sleep(2 * time.Second)
+	before := f.sum("tinladder_store_calls_total")
+	f.each(standin.Faults{Away: standin.Busy})
+	time.Sleep(6 * time.Second)
+	asked := f.sum("tinladder_store_calls_total") - before
+	t.Logf("%.0f calls in 6 s", asked)
+	is.True(asked <= 130) // 18 nodes that ask for two kinds every 1.5 s would make 144 and more
+	f.each(standin.Faults{})
+	f.calm(4)
+	back := time.Now()
+	for _, n := range f.nodes {
+		f.eventually(n.name+" has the change", func() bool { return inForce(n, 4) })
+	}
+	took := time.Since(back)
+	t.Logf("in force everywhere %v after the store's return", took)
+	is.True(took < 2500*time.Millisecond)
+}
