What is owed work is counted by hall, and nothing that holds a request is tried

Cause: other halls' loads reach a node late and in part, since a report to this hall's nodes takes what has changed with it. Where targets hang, a trial takes longer to fail than the 1.4 s after which the next one was due.

--- a/pool/spread.go
+++ b/pool/spread.go
@@ -43,11 +43,12 @@
 // deviations is how far above the share failures must be, in standard deviations, not to be chance.
 const deviations = 2
 
-// narrow says whether too few targets had work of late, over all halls.
+// narrow says whether too few of this hall's targets had work of late. What other halls do with theirs is known too
+// late and in part.
 func (p *Pool) narrow(n need, now clock.Millis) bool {
 	worked, sound := 0.0, 0.0
 	for _, t := range p.order {
-		if !p.usable(t, now) {
+		if !t.Ours || !p.usable(t, now) {
 			continue
 		}
 		w := p.counts(t, n, now)
@@ -75,5 +76,5 @@
 	if n.all && now-t.lastFailed <= p.tuning.SoundAgain+t.later() {
 		return false
 	}
-	return now-t.usedAt > p.tuning.SpreadIdle+t.later()
+	return now-t.usedAt > p.tuning.SpreadIdle+t.later() && p.inFlight(t, now) == 0
 }
--- a/proof/floor_test.go
+++ b/proof/floor_test.go
@@ -122,6 +122,9 @@
 		busy.with("slow", func(d *deployment) { d.slowShare = 0.4 }),
 		busy.with("errors", func(d *deployment) { d.errorRate = 0.1 }),
 		busy.with("half load", func(d *deployment) { d.rate = 80 }),
+		busy.with("hangs", func(d *deployment) {
+			d.hangs, d.failRate, d.rate, d.takes, d.aim, d.deadline = true, 0.75, 228, 150*time.Millisecond, 500, 1500*time.Millisecond
+		}),
 	}
 }
 
@@ -149,7 +152,7 @@
 	if !*measure {
 		t.Skip("a measurement; run with -measure")
 	}
-	for _, calm := range []float64{0, 0.7, 0.75, 0.8, 0.85} {
+	for _, calm := range []float64{0, 0.65, 0.7, 0.75} {
 		tuning := pool.DefaultTuning
 		tuning.CalmSpread = calm
 		for _, d := range floorDeployments() {
--- a/proof/model_test.go
+++ b/proof/model_test.go
@@ -150,7 +150,7 @@
 			mean = d.sound + d.failing - mean
 		}
 		s.targets[id] = target
-		list = append(list, pool.Target{ID: id, Address: string(id), Slots: d.slots, Near: true, Ours: i%d.nodes < d.nodes})
+		list = append(list, pool.Target{ID: id, Address: string(id), Slots: d.slots, Near: true, Ours: true})
 	}
 	c := clock.NewSystem()
 	for i := range d.nodes {
@@ -164,7 +164,7 @@
 	for i, p := range s.pools {
 		mine := append([]pool.Target(nil), list...)
 		for j := range mine {
-			mine[j].Ours = j%d.nodes == i
+			mine[j].Turn = (j + i) % d.nodes
 		}
 		p.SetTargets(mine)
 	}
