--- a/node/duty.go
+++ b/node/duty.go
@@ -101,11 +101,13 @@
 	return d.hall.Due(q)
 }
 
-// known says whether anything of the kind was ever confirmed to this process.
+// known says whether anything of the kind was ever confirmed to this process, or told by another node. While many
+// records come at once no two nodes hold the same, and none can confirm another's; a fleet that starts would read
+// all of them from the store on each node.
 func (d *duty) known(k store.Kind) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.confirmed[k] > 0
+	return d.confirmed[k] > 0 || d.node.records.sets[k].Newest() > 0
 }
 
 // patienceOf is how long a node that has just started waits for word from others before it asks
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -16,15 +16,17 @@
 // nodeMetrics are what the node counts, in a set of its own. Labels are of bounded sets only: kinds
 // of requests, outcomes, causes, statuses; never names of services, routes or targets.
 type nodeMetrics struct {
-	clock   clock.Clock
-	set     *metrics.Set
-	peers   map[peerTraffic]*metrics.Counter
-	heard   *metrics.Counter
-	retries *metrics.Counter
-	denied  *metrics.Counter
-	hedges  *metrics.Counter
-	away    *metrics.Counter
-	version *metrics.Counter
+	clock clock.Clock
+	set   *metrics.Set
+	peers map[peerTraffic]*metrics.Counter
+	// storeCalls are all calls for records.
+	storeCalls *metrics.Counter
+	heard      *metrics.Counter
+	retries    *metrics.Counter
+	denied     *metrics.Counter
+	hedges     *metrics.Counter
+	away       *metrics.Counter
+	version    *metrics.Counter
 	// stateAt is when the desired state that is in force came.
 	stateAt *metrics.Counter
 }
@@ -36,16 +38,17 @@
 		peers[t] = set.NewCounter(t.metric())
 	}
 	return &nodeMetrics{
-		clock:   c,
-		set:     set,
-		peers:   peers,
-		heard:   set.NewCounter("tinladder_datagram_received_total"),
-		retries: set.NewCounter("tinladder_retries_total"),
-		denied:  set.NewCounter("tinladder_retries_denied_total"),
-		hedges:  set.NewCounter("tinladder_hedges_total"),
-		away:    set.NewCounter("tinladder_store_away"),
-		version: set.NewCounter("tinladder_state_version"),
-		stateAt: set.NewCounter("tinladder_state_since_ms"),
+		clock:      c,
+		set:        set,
+		peers:      peers,
+		storeCalls: &metrics.Counter{},
+		heard:      set.NewCounter("tinladder_datagram_received_total"),
+		retries:    set.NewCounter("tinladder_retries_total"),
+		denied:     set.NewCounter("tinladder_retries_denied_total"),
+		hedges:     set.NewCounter("tinladder_hedges_total"),
+		away:       set.NewCounter("tinladder_store_away"),
+		version:    set.NewCounter("tinladder_state_version"),
+		stateAt:    set.NewCounter("tinladder_state_since_ms"),
 	}
 }
 
@@ -95,6 +98,7 @@
 }
 
 func (m *nodeMetrics) storeCall(k store.Kind, follow bool) {
+	m.storeCalls.Inc()
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_store_calls_total{kind=%q,follow="%v"}`, k, follow)).Inc()
 }
 
--- a/node/traffic.go
+++ b/node/traffic.go
@@ -11,12 +11,14 @@
 // trafficEvery is how often the log is told what this node has sent to others.
 const trafficEvery = 10 * clock.Second
 
-// traffic tells the log now and then how much this node sends to other nodes, by kind of message. Bytes that
-// leave the hall cost the most, so they are told apart.
+// traffic tells the log now and then how much this node sends to other nodes, by kind of message, and how often it
+// called the store. Bytes that leave the hall cost the most, so they are told apart.
 type traffic struct {
 	node *Node
 	at   clock.Millis
 	told map[peerTraffic]uint64
+	// calls are those to the store, as last told.
+	calls uint64
 }
 
 func newTraffic(n *Node) *traffic {
@@ -37,6 +39,10 @@
 			t.told[p] = sum
 		}
 	}
+	if calls := t.node.metrics.storeCalls.Get(); calls > t.calls {
+		f["store_calls"] = calls - t.calls
+		t.calls = calls
+	}
 	if len(f) > 1 {
 		t.node.log.WithFields(f).Info()
 	}
