Retry-After is in whole seconds on the fleet's own door

Cause: the fleet's own interface sent fractions (0.3), which RFC 9110 does not know and common clients reject. The exact time is in Tinladder-Retry-After-Ms as before.

--- a/forward/header.go
+++ b/forward/header.go
@@ -20,6 +20,8 @@
 	Leaving string
 	// IDOptional says that targets may leave the id out of their answers.
 	IDOptional bool
+	// Fractions says that callers read fractions of seconds in Retry-After.
+	Fractions bool
 	// Promises says that 408, 421, 429 and 503 tell callers that a request has not run.
 	Promises bool
 	// Load reads what a target says of its own load in an answer's header; nil if targets say nothing.
--- a/node/answer.go
+++ b/node/answer.go
@@ -136,6 +136,7 @@
 // tell answers the caller with a problem, at once.
 func (x *exchange) tell(p Problem, c cause, err error) {
 	x.w.Header().Set(x.headers.RequestID, x.id)
+	p.fractions = x.headers.Fractions
 	p.Write(x.w)
 	x.node.events.failed(x.service.name, p.Outcome)
 	x.retryAfter = p.RetryAfter
--- a/node/front.go
+++ b/node/front.go
@@ -32,27 +32,31 @@
 
 // servePlatform serves a caller of the users' platform, by host and path.
 func (n *Node) servePlatform(w http.ResponseWriter, r *http.Request) {
+	refuse := func(p Problem) {
+		p.fractions = n.platform.Speech.Headers.Fractions
+		n.refuse(w, r, p)
+	}
 	t := n.records.await(r)
 	if t == nil {
-		n.refuse(w, r, Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyPause, Detail: n.records.missing()})
+		refuse(Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyPause, Detail: n.records.missing()})
 		return
 	}
 	route := t.Find(r.Host, r.URL.EscapedPath())
 	if route == nil {
-		n.refuse(w, r, Problem{Status: http.StatusNotFound, Detail: "no route"})
+		refuse(Problem{Status: http.StatusNotFound, Detail: "no route"})
 		return
 	}
 	if route.Fault != "" {
-		n.refuse(w, r, Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyPause, Detail: "the route cannot be used: " + route.Fault})
+		refuse(Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyPause, Detail: "the route cannot be used: " + route.Fault})
 		return
 	}
 	if t.Limits.HeaderBytes > 0 && headerBytes(r) > t.Limits.HeaderBytes {
-		n.refuse(w, r, Problem{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "the header is too large"})
+		refuse(Problem{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "the header is too large"})
 		return
 	}
 	if t.Limits.BodyBytes > 0 {
 		if r.ContentLength > t.Limits.BodyBytes {
-			n.refuse(w, r, Problem{Status: http.StatusRequestEntityTooLarge, Detail: "the body is too large"})
+			refuse(Problem{Status: http.StatusRequestEntityTooLarge, Detail: "the body is too large"})
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, t.Limits.BodyBytes)
--- a/node/problem.go
+++ b/node/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -29,18 +30,30 @@
 	Outcome Outcome `json:"outcome"`
 	// RetryAfter is when it is worth coming back; 0 says nothing of it.
 	RetryAfter clock.Millis `json:"retry_after_ms,omitempty"`
+	// fractions says that the caller reads fractions of seconds.
+	fractions bool
 }
 
-// Write sends the problem as the whole answer.
+// Write sends the problem as the whole answer. RFC 9110 has whole seconds in Retry-After, and common clients
+// reject others; the exact time is told beside it.
 func (p Problem) Write(w http.ResponseWriter) {
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set(HeaderOutcome, string(p.Outcome))
 	if p.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(p.RetryAfter.Duration().Seconds(), 'f', -1, 64))
+		h.Set("Retry-After", p.retryAfter())
 		h.Set(HeaderRetryAfterMs, strconv.FormatInt(int64(p.RetryAfter), 10))
 	}
 	p.Title = http.StatusText(p.Status)
 	w.WriteHeader(p.Status)
 	_ = json.NewEncoder(w).Encode(p)
 }
+
+// retryAfter is the time to come back in seconds, whole ones if the caller reads no others.
+func (p Problem) retryAfter() string {
+	seconds := p.RetryAfter.Duration().Seconds()
+	if !p.fractions {
+		seconds = math.Ceil(seconds)
+	}
+	return strconv.FormatFloat(seconds, 'f', -1, 64)
+}
