What follows an attempt is decided without I/O: package attempt

Cause: whether a request is tried again, given up, and what its caller may be told stood among calls to the network in the exchange, so that a replay of load could not play it.

--- /dev/null
+++ b/attempt/attempt_test.go
@@ -0,0 +1,106 @@
+package attempt_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/attempt"
+	"github.com/tinladder/tinladder/clock"
+)
+
+func always() bool { return true }
+func never() bool  { return false }
+
+var (
+	once       = attempt.Plan{Most: 3}
+	repeatable = attempt.Plan{Repeatable: true, Most: 2}
+	plenty     = attempt.Progress{Tried: 1, Left: 3000, Usual: 300}
+)
+
+// with returns the progress with one thing changed.
+func with(change func(p *attempt.Progress)) attempt.Progress {
+	p := plenty
+	change(&p)
+	return p
+}
+
+func TestNext(t *testing.T) {
+	ran := with(func(p *attempt.Progress) { p.Ran = 1 })
+	failed := attempt.End{Answered: true, Failed: true}
+	shed := attempt.End{Answered: true, Failed: true, NotRun: true}
+	unsent, lost := attempt.End{Unsent: true}, attempt.End{}
+	cases := []struct {
+		name string
+		plan attempt.Plan
+		end  attempt.End
+		at   attempt.Progress
+		more func() bool
+		want attempt.Step
+	}{
+		{"a good answer", once, attempt.End{Answered: true}, ran, always, attempt.Answer},
+		{"a failure of a run-once request", once, failed, ran, always, attempt.Answer},
+		{"a failure of a repeatable one", repeatable, failed, ran, always, attempt.Again},
+		{"the same beyond the budget", repeatable, failed, ran, never, attempt.Answer},
+		{"the same after all its attempts", repeatable, failed, with(func(p *attempt.Progress) { p.Ran = 2 }), always, attempt.Answer},
+		{"run once, turned away", once, shed, plenty, always, attempt.Again},
+		{"turned away beyond the budget", once, shed, plenty, never, attempt.NotRun},
+		{"turned away by six", once, shed, with(func(p *attempt.Progress) { p.Tried = 6 }), always, attempt.NotRun},
+		{"no connection costs no budget", once, unsent, plenty, never, attempt.Again},
+		{"no connection, no time", once, unsent, with(func(p *attempt.Progress) { p.Left = 100 }), always, attempt.NotRun},
+		{"run once, no answer", once, lost, ran, always, attempt.Unknown},
+		{"repeatable, no answer", repeatable, lost, ran, always, attempt.Again},
+		{"repeatable, no answer, no time", repeatable, lost, with(func(p *attempt.Progress) { p.Ran, p.Left = 1, 100 }), always, attempt.Unknown},
+		{"a body that was read cannot be sent again", attempt.Plan{Streamed: true, Most: 3}, shed, plenty, always, attempt.NotRun},
+		{"the caller of a repeatable request left", repeatable, lost, with(func(p *attempt.Progress) { p.Ran, p.CallerLeft = 1, true }), always, attempt.Gone},
+		{"the caller of a run-once request left, it ran", once, lost, with(func(p *attempt.Progress) { p.Ran, p.CallerLeft = 1, true }), always, attempt.Unknown},
+		{"the caller of a run-once request left, it did not run", once, unsent, with(func(p *attempt.Progress) { p.CallerLeft = true }), always, attempt.Gone},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(c.plan.Next(c.end, c.at, c.more), c.want)
+		})
+	}
+}
+
+// TestRunOnceIsNeverTriedAgainAfterItMayHaveRun goes through all that can be said of an attempt.
+func TestRunOnceIsNeverTriedAgainAfterItMayHaveRun(t *testing.T) {
+	for bits := range 16 {
+		e := attempt.End{Answered: bits&1 > 0, Failed: bits&2 > 0, NotRun: bits&4 > 0, Unsent: bits&8 > 0}
+		if e.NotRun && !e.Answered || e.Unsent && e.Answered {
+			continue // cannot be
+		}
+		for _, left := range []clock.Millis{0, 3000} {
+			for _, more := range []func() bool{always, never} {
+				at := with(func(p *attempt.Progress) { p.Left = left })
+				step := once.Next(e, at, more)
+				if may := e.Unsent || e.NotRun; !may && (step == attempt.Again || step == attempt.NotRun) {
+					t.Errorf("%+v: %v", e, step)
+				}
+			}
+		}
+	}
+}
+
+// TestBudgetIsAskedOnlyForWhatIsMade counts how often the budget is asked: each time counts as one attempt of the fleet.
+func TestBudgetIsAskedOnlyForWhatIsMade(t *testing.T) {
+	for _, c := range []struct {
+		end  attempt.End
+		at   attempt.Progress
+		want int
+	}{
+		{attempt.End{Answered: true}, plenty, 0},
+		{attempt.End{Unsent: true}, plenty, 0},
+		{attempt.End{Answered: true, Failed: true}, plenty, 1},
+		{attempt.End{Answered: true, Failed: true}, with(func(p *attempt.Progress) { p.Left = 10 }), 0},
+		{attempt.End{Answered: true, Failed: true}, with(func(p *attempt.Progress) { p.CallerLeft = true }), 0},
+	} {
+		t.Run(fmt.Sprintf("%+v", c.end), func(t *testing.T) {
+			is := is.New(t)
+			asked := 0
+			repeatable.Next(c.end, c.at, func() bool { asked++; return true })
+			is.Equal(asked, c.want)
+		})
+	}
+}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tinladder/tinladder/attempt"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/desired"
 	"github.com/tinladder/tinladder/forward"
@@ -17,13 +18,9 @@
 )
 
 const (
-	// maxTried bounds the targets that one request goes to.
-	maxTried = 6
 	// lateFactor is how many times as long as usual an attempt must have had to be held against its
 	// target when time runs out.
 	lateFactor = 2
-	// fairShare is the part of a usual service time that must be left for another attempt.
-	fairShare = 0.5
 )
 
 // A ticket is told how a run-once request ended.
@@ -120,7 +117,7 @@
 
 func (x *exchange) ask() *pool.Ask {
 	return &pool.Ask{
-		Repeatable: x.route.Repeatable, Again: x.route.Repeatable && x.stream == nil && x.ran+1 < x.route.Attempts,
+		Repeatable: x.route.Repeatable, Again: x.plan().Hedges(x.ran),
 		Rank: x.route.Rank, Began: x.began, Aim: x.route.Aim, Deadline: x.deadline, Not: x.tried,
 		Bytes: x.pace.size(),
 	}
@@ -206,44 +203,52 @@
 	return pool.Good
 }
 
+// plan is what the request allows.
+func (x *exchange) plan() attempt.Plan {
+	return attempt.Plan{Repeatable: x.route.Repeatable, Streamed: x.stream != nil, Most: x.route.Attempts}
+}
+
+// progress is how far the request has come.
+func (x *exchange) progress() attempt.Progress {
+	return attempt.Progress{
+		Ran: x.ran, Tried: len(x.tried), Left: x.deadline - x.node.clock.Now(), Usual: x.service.pool.Usual(),
+		CallerLeft: x.r.Context().Err() != nil,
+	}
+}
+
+// endOfAttempt says how an attempt ended, as far as it decides what follows.
+func (x *exchange) endOfAttempt(a *forward.Answer, err error) attempt.End {
+	if err != nil {
+		return attempt.End{Unsent: !errors.Is(err, forward.ErrSent)}
+	}
+	return attempt.End{
+		Answered: true, Failed: a.Status >= http.StatusInternalServerError || a.Status == http.StatusTooManyRequests, NotRun: x.notRun(a),
+	}
+}
+
 // settle answers the caller if the attempt ends the request, and says whether it did.
 func (x *exchange) settle(a *forward.Answer, err error, t ticket) bool {
-	notRun := err == nil && x.notRun(a)
-	unsent := err != nil && !errors.Is(err, forward.ErrSent)
-	failed := err != nil || a.Status >= http.StatusInternalServerError || a.Status == http.StatusTooManyRequests
-	if !failed && !notRun {
-		x.answer(a, t)
-		return true
-	}
-	again := unsent || notRun || x.route.Repeatable && x.ran < x.route.Attempts
-	switch {
-	case x.r.Context().Err() != nil && (x.route.Repeatable || x.ran == 0):
-		discard(a)
-		x.gone(t)
-	case again && x.mayTryAgain(!unsent):
+	step := x.plan().Next(x.endOfAttempt(a, err), x.progress(), x.more)
+	if step != attempt.Answer {
 		discard(a)
+	}
+	switch step {
+	case attempt.Again:
 		return false
-	case err != nil && !unsent:
-		x.noAnswer(err, t)
-	case unsent, notRun:
-		discard(a)
-		x.giveUp(pool.ErrNoTarget, t)
-	default:
+	case attempt.Answer:
 		x.answer(a, t)
+	case attempt.Gone:
+		x.gone(t)
+	case attempt.NotRun:
+		x.giveUp(pool.ErrNoTarget, t)
+	case attempt.Unknown:
+		x.noAnswer(err, t)
 	}
 	return true
 }
 
-// mayTryAgain says whether time and budget allow another attempt. Arrived says that the last one
-// reached a target, so that the next is one more.
-func (x *exchange) mayTryAgain(arrived bool) bool {
-	left := x.deadline - x.node.clock.Now()
-	if x.stream != nil || len(x.tried) >= maxTried || float64(left) < fairShare*float64(x.service.pool.Usual()) {
-		return false
-	}
-	if !arrived {
-		return true
-	}
+// more says whether the fleet may make one more attempt, and counts it.
+func (x *exchange) more() bool {
 	allowed := x.service.pool.Budget().More()
 	x.node.metrics.again(allowed)
 	return allowed
--- a/node/race.go
+++ b/node/race.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tinladder/tinladder/attempt"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/forward"
 	"github.com/tinladder/tinladder/pool"
@@ -52,7 +53,7 @@
 		x.count(e)
 		return e.answer, e.err
 	}
-	r := &runners{exchange: x, ends: make(chan end, maxTried)}
+	r := &runners{exchange: x, ends: make(chan end, attempt.MaxTried)}
 	r.start(ctx, l)
 	patience := time.NewTimer(x.pace.patience(l.Usual()).Duration())
 	defer patience.Stop()
@@ -78,7 +79,7 @@
 
 // mayHedge says whether two attempts of the request may run at once.
 func (x *exchange) mayHedge() bool {
-	return x.route.Repeatable && x.stream == nil && x.ran+1 < x.route.Attempts && x.service.pool.Hedges()
+	return x.plan().Hedges(x.ran) && x.service.pool.Hedges()
 }
 
 // hedge returns a lease for a second attempt, or nil if no slot is free or the budget is needed for
