--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -37,6 +37,8 @@
 	via func(store string) string
 	// linkBytes is how many bytes a second each node's link carries; 0 is no bound.
 	linkBytes int
+	// muffled has others' connections to each node go through a muffler.
+	muffled bool
 	// more is added to a node's settings, by its place.
 	more func(i int) string
 }
@@ -50,6 +52,7 @@
 	// peersAt is where the node listens for others, if a relay stands before it.
 	peersAt string
 	link    *emulate.Link
+	muffler *muffler
 	// more is added to the node's settings.
 	more string
 	door *standin.Door
@@ -118,6 +121,14 @@
 			}
 			t.Cleanup(r.Close)
 		}
+		if f.muffled {
+			n.peersAt, n.muffler = free[4], newMuffler(t, free[4])
+			r, err := emulate.NewRelay(n.peers, n.peersAt, n.peers, n.muffler.address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(r.Close)
+		}
 		f.nodes = append(f.nodes, n)
 	}
 	for _, n := range f.nodes {
--- a/node/silent_test.go
+++ b/node/silent_test.go
@@ -183,3 +183,28 @@
 		t.Logf("in force after %v", took)
 	}
 }
+
+// TestSilentConnectionsBetweenNodes lets the connections between nodes go silent while all but one are turned away by
+// the store, and a state comes that is too large for datagrams. It must be in force on all all the same.
+func TestSilentConnectionsBetweenNodes(t *testing.T) {
+	f := startFleet(t, 4, &fleet{muffled: true, via: func(store string) string { return store }})
+	f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	for _, n := range f.nodes[1:] {
+		n.door.SetFaults(standin.Faults{Away: standin.Busy})
+	}
+	f.inForceWithin(4, f.grown(4, 600, false), 5*time.Second) // connections are open, and rest
+	open := 0
+	for _, n := range f.nodes {
+		open += n.muffler.hush()
+	}
+	if open == 0 {
+		t.Fatal("no connection was open")
+	}
+	last, late := f.inForceWithin(5, f.grown(5, 1200, false), 4*time.Second)
+	t.Logf("%d connections silent; in force on all after %v", open, last)
+	if late != nil {
+		t.Errorf("not in force after %v on %v", last, late)
+	}
+}
