--- a/proof/replay_test.go
+++ b/proof/replay_test.go
@@ -122,7 +122,9 @@
 	seed   uint64
 	index  map[ident.Target]int
 
-	pmu   sync.Mutex
+	pmu sync.Mutex
+	// nodes are the pools that serve now: those of the simulation, or of the one after a restart.
+	nodes []*pool.Pool
 	alive context.Context
 	kill  context.CancelFunc
 	got   replayed
@@ -136,6 +138,7 @@
 	p := &player{replay: r, tuning: t, seed: seed, index: map[ident.Target]int{}}
 	p.got.windows, p.got.byRank = map[int]*[2]int{}, map[uint32]*[2]int{}
 	p.simulation = newSimulation(d, t, seed)
+	p.nodes = p.pools
 	for i := range r.Targets {
 		p.index[ident.Target(fmt.Sprint("t", i))] = i
 	}
@@ -211,7 +214,7 @@
 	began := time.Now()
 	first := clock.FromDuration(began.Sub(p.start))
 	p.pmu.Lock()
-	alive, pl := p.alive, p.pools[node]
+	alive, pl := p.alive, p.nodes[node]
 	p.pmu.Unlock()
 	ctx, cancel := context.WithTimeout(alive, k.Deadline.Duration())
 	defer cancel()
@@ -293,7 +296,7 @@
 	defer p.pmu.Unlock()
 	p.kill()
 	p.alive, p.kill = context.WithCancel(context.Background())
-	p.pools = fresh.pools
+	p.nodes = fresh.pools
 }
 
 // play plays the whole replay.
