--- a/desired/desired.go
+++ b/desired/desired.go
@@ -8,7 +8,10 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tinladder/tinladder/access"
 	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/limit"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
 
@@ -26,6 +29,8 @@
 	Name   string
 	Host   string
 	Prefix string
+	// Public routes ask for no key.
+	Public bool
 	// Repeatable requests may run more than once.
 	Repeatable bool
 	// Timeout is the longest that a request is held.
@@ -77,11 +82,13 @@
 	Version  Version
 	Limits   Limits
 	Services map[string]Service
-	byHost   map[string][]*Route
-	routes   []*Route
-	faults   []error
-	state    *tlv1.DesiredState
-	groups   *groups
+	// Access finds the workspaces of callers; nil if no request needs a key.
+	Access *access.Directory
+	byHost map[string][]*Route
+	routes []*Route
+	faults []error
+	state  *tlv1.DesiredState
+	groups *groups
 }
 
 // Compile checks a state and returns it ready for use. A route that cannot be used costs no more than
@@ -110,16 +117,40 @@
 	for _, r := range s.GetRoutes() {
 		t.add(r)
 	}
+	if s.GetKeyed() {
+		t.admit(s.GetWorkspaces())
+	}
 	t.sort()
 	t.groups = newGroups(t)
 	return t, nil
 }
 
+// admit takes in who may ask. A workspace that cannot be used costs no more than itself, and opens nothing.
+func (t *Table) admit(list []*tlv1.DesiredWorkspace) {
+	t.Access = access.NewDirectory()
+	for _, w := range list {
+		var keys []access.Digest
+		for _, b := range w.GetKeys() {
+			if len(b) == access.DigestBytes {
+				keys = append(keys, access.Digest(b))
+			}
+		}
+		err := t.Access.Add(access.Workspace{
+			Name: ident.Workspace(w.GetName()), Rank: w.GetRank(), Fault: w.GetFault(),
+			Rate: limit.Rate{PerSecond: w.GetPerSecond(), Burst: w.GetBurst()},
+		}, keys)
+		if err != nil {
+			t.faults = append(t.faults, err)
+		}
+	}
+}
+
 func (t *Table) add(d *tlv1.DesiredRoute) {
 	r := &Route{
 		Name:       d.GetName(),
 		Host:       strings.ToLower(d.GetHost()),
 		Prefix:     d.GetPrefix(),
+		Public:     d.GetPublic(),
 		Repeatable: d.GetRepeatable(),
 		Timeout:    clock.Millis(d.GetTimeoutMs()),
 		Aim:        clock.Millis(d.GetAimMs()),
@@ -162,7 +193,7 @@
 	return nil
 }
 
-// Faults names the routes that cannot be used, and why.
+// Faults names the routes and workspaces that cannot be used, and why.
 func (t *Table) Faults() []error {
 	return t.faults
 }
--- a/desired/group.go
+++ b/desired/group.go
@@ -64,6 +64,11 @@
 	return Group(t.groups.find(serviceName + name))
 }
 
+// Groups returns the groups that have services, in order.
+func (t *Table) Groups() []Group {
+	return slices.Sorted(maps.Keys(t.groups.services))
+}
+
 // ServicesOf returns the services of the group, by name.
 func (t *Table) ServicesOf(g Group) []string {
 	return t.groups.services[g]
--- a/forward/header.go
+++ b/forward/header.go
@@ -14,6 +14,10 @@
 	Deadline string
 	// Instance is the only target that may run the request.
 	Instance string
+	// Workspace tells targets in whose name a request runs. Callers cannot say so themselves.
+	Workspace string
+	// Key is where callers show the key of their workspace. It reaches no target.
+	Key string
 	// NotRun is on answers of targets that did not run the request.
 	NotRun string
 	// Leaving is on answers of targets that are leaving.
@@ -53,3 +57,13 @@
 		h.Del(name)
 	}
 }
+
+// DropAlike removes a header in all spellings that a target might read as the name: with another case, or with
+// underscores, which CGI-like interfaces do not tell from dashes.
+func DropAlike(h http.Header, name string) {
+	for spelled := range h {
+		if strings.EqualFold(strings.ReplaceAll(spelled, "_", "-"), name) {
+			delete(h, spelled)
+		}
+	}
+}
--- /dev/null
+++ b/limit/deal.go
@@ -0,0 +1,47 @@
+package limit
+
+const (
+	// dealShare is the share of the nodes of late that a node must hear to have the whole dealt out anew among those
+	// that live: of a fleet that is cut, one side at most has it.
+	dealShare = 0.6
+	// keepShare is the share from which a node keeps the part that it had: it may be on the larger side of a cut, or
+	// on one of two that are alike, and nobody then deals anew.
+	keepShare = 1 - dealShare
+	// leastCarriers is how many nodes a node that has just started takes for sharing with it: it may not know them yet.
+	leastCarriers = 16
+)
+
+// A View struct is what a node sees of those that share a workspace's limit with it.
+type View struct {
+	// Carries says that the node is one of so many Carriers that callers are sent to.
+	Carries  bool
+	Carriers int
+	// Live nodes are heard now, this one too; Known is the most of them of late.
+	Live, Known int
+	// Alone says that the node has never met another one, though there should be some.
+	Alone bool
+	// Young nodes have just started, and may not know all others yet.
+	Young bool
+}
+
+// Deals says whether the node hears enough others to know its part, and that of the rest.
+func (v View) Deals() bool {
+	return !v.Alone && float64(v.Live) > keepShare*float64(v.Known)
+}
+
+// Share returns the node's part of each limit, if it had the one held: parts add up to one at most, whoever hears
+// whom.
+func (v View) Share(held float64) float64 {
+	heard := float64(v.Live) / float64(max(v.Known, v.Live, 1))
+	switch {
+	case !v.Deals():
+		return 0
+	case heard < dealShare:
+		return held
+	case !v.Carries:
+		return 0
+	case v.Young:
+		return 1 / float64(max(v.Carriers, leastCarriers))
+	}
+	return 1 / float64(max(v.Carriers, 1))
+}
--- /dev/null
+++ b/limit/limit.go
@@ -0,0 +1,61 @@
+// Package limit holds workspaces to how many requests they may make over a whole fleet. What a workspace may ask
+// is dealt out to the nodes that callers are sent to, in parts that add up to the whole; a node that has more to do
+// than its part borrows from others, who then have less. So it holds in any window and whoever hears whom,
+// without anyone counting: what is lent and lost on its way is lost. It does no I/O.
+package limit
+
+import "github.com/tinladder/tinladder/clock"
+
+// A Rate struct is how many requests a workspace may make: so many a second, and a burst besides.
+type Rate struct {
+	// PerSecond of 0 is no bound.
+	PerSecond float64
+	Burst     float64
+}
+
+// Bounded says whether there is a bound at all.
+func (r Rate) Bounded() bool {
+	return r.PerSecond > 0
+}
+
+// Bounds is what the fleet as a whole is held to: in any Window no more than
+// (PerSecond x Window + Burst) x (1 + Overshoot) + Slack.
+type Bounds struct {
+	Window    clock.Millis
+	Overshoot float64
+	Slack     float64
+}
+
+const (
+	// lentFor is how long what was borrowed may be on its way, or used beyond what the borrower may save, from when it
+	// was asked for. It is time in which requests are on nobody's account, and shortens what may be dealt out.
+	lentFor clock.Millis = 500
+	// rateShare is the part of what the window allows by the second that is dealt out. The rest is for nodes that
+	// see different others for a while.
+	rateShare = 0.95
+	// slackShare is the part of the slack that is dealt out as burst, and startShare the part that nodes that have
+	// just started have at once: all of a fleet may start twice in a window.
+	slackShare = 0.75
+	startShare = 0.1
+)
+
+// perMilli returns what all nodes together are given by the millisecond.
+func (b Bounds) perMilli(r Rate) float64 {
+	w := float64(b.Window)
+	return r.PerSecond / float64(clock.Second) * (1 + b.Overshoot) * w / (w + float64(lentFor)) * rateShare
+}
+
+// most returns how much all nodes together may have saved.
+func (b Bounds) most(r Rate) float64 {
+	return r.Burst + b.Slack*slackShare
+}
+
+// start returns how much all nodes together have when they start.
+func (b Bounds) start(r Rate) float64 {
+	return b.Slack*startShare + r.Burst*b.Overshoot/2
+}
+
+// Allowed returns how many requests the fleet may make in a window.
+func (b Bounds) Allowed(r Rate) float64 {
+	return (r.PerSecond*float64(b.Window)/float64(clock.Second)+r.Burst)*(1+b.Overshoot) + b.Slack
+}
--- a/node/ask.go
+++ b/node/ask.go
@@ -88,6 +88,10 @@
 			http.NotFound(w, r)
 			return
 		}
+		if n.runsOut() {
+			w.WriteHeader(http.StatusServiceUnavailable) // another node knows which ones can serve
+			return
+		}
 		q := n.platform.Speech.ParseQuestion(r)
 		var addresses []string
 		for _, m := range n.nodesFor(n.groupOf(q.Host), q.Hall) {
--- a/node/carriers.go
+++ b/node/carriers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 
@@ -24,7 +25,9 @@
 	// version and generation tell when the members or the services have changed.
 	version, seen, generation uint64
 	cache                     map[carrierKey][]*tlv1.Member
-	slots                     map[string]int
+	// served are the nodes that carry anything, as of the same version; nil if not worked out yet.
+	served []*tlv1.Member
+	slots  map[string]int
 }
 
 type carrierKey struct {
@@ -80,10 +83,7 @@
 func (c *carriers) inHall(group desired.Group, hall ident.Hall) []*tlv1.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if v := c.node.members.Version(); v != c.version || c.seen != c.generation {
-		c.version, c.seen = v, c.generation
-		clear(c.cache)
-	}
+	c.refresh()
 	k := carrierKey{group: group, hall: hall}
 	list, found := c.cache[k]
 	if !found {
@@ -93,6 +93,48 @@
 	return list
 }
 
+// refresh forgets what was worked out of members or slots that have changed. The caller holds the lock.
+func (c *carriers) refresh() {
+	if v := c.node.members.Version(); v != c.version || c.seen != c.generation {
+		c.version, c.seen = v, c.generation
+		clear(c.cache)
+		c.served = nil
+	}
+}
+
+// serving returns the nodes that callers of the desired state's routes are sent to, by name.
+func (c *carriers) serving() []*tlv1.Member {
+	t := c.node.records.table.Load()
+	if t == nil {
+		return nil
+	}
+	c.mu.Lock()
+	c.refresh()
+	served, version, generation := c.served, c.version, c.generation
+	c.mu.Unlock()
+	if served != nil {
+		return served
+	}
+	byNode := map[string]*tlv1.Member{}
+	halls := c.halls()
+	for _, g := range t.Groups() {
+		for _, h := range halls {
+			for _, m := range c.inHall(g, h) {
+				byNode[m.GetNode()] = m
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(byNode)) {
+		served = append(served, byNode[name])
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.version == version && c.generation == generation {
+		c.served = served
+	}
+	return served
+}
+
 // rank takes the nodes with the most capacity first, in an order of its own for each group, until
 // they are enough.
 func (c *carriers) rank(k carrierKey) []*tlv1.Member {
--- a/node/confirm.go
+++ b/node/confirm.go
@@ -126,6 +126,9 @@
 			s.AgeMs = int64(d.node.clock.Now() - at)
 		}
 		d.mu.Unlock()
+		if k == store.State {
+			s.Proved = int64(d.proof.Proved()) // before the sum, too
+		}
 		set := d.node.records.sets[k]
 		s.Sum, s.Newest = set.Sum(), set.Newest()
 		list = append(list, s)
@@ -168,6 +171,9 @@
 			}
 			continue
 		}
+		if k == store.State && d.node.records.readable() {
+			d.proof.Heard(clock.Millis(s.GetProved()), now)
+		}
 		if s.GetAgeMs() == never {
 			continue
 		}
--- a/node/duty.go
+++ b/node/duty.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/tinladder/tinladder/access"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/replica"
@@ -51,6 +52,8 @@
 	confirmed map[store.Kind]clock.Millis
 	// asked is when this node asked for it itself.
 	asked map[store.Kind]clock.Millis
+	// proof is how long ago the store is proved to have held no newer state.
+	proof access.Proof
 	// marks are up to where this node holds all changes, from the store or by another's word.
 	marks  map[store.Kind]store.Mark
 	told   clock.Millis
@@ -174,29 +177,34 @@
 // where this node holds all changes now, and when that was so: a large answer is old when its end has come.
 func (d *duty) ask(ctx context.Context, k store.Kind, m store.Mark) (next store.Mark, at clock.Millis, err error) {
 	n := d.node
-	var list, news []replica.Record
+	var r store.Reply
+	var news []replica.Record
 	n.metrics.storeCall(k, m > 0)
+	sent := n.clock.Now()
 	if m == 0 {
-		list, next, err = n.source.Read(ctx, k)
+		r, err = n.source.Read(ctx, k)
 		if err == nil {
-			news = n.records.replace(k, list, next, fromStore)
+			news = n.records.replace(k, r.Records, r.Mark, fromStore)
 		}
 	} else {
-		list, next, err = n.source.Follow(ctx, k, m, d.waitFor(k))
+		r, err = n.source.Follow(ctx, k, m, d.waitFor(k))
 		if err == nil {
-			news = n.records.put(k, list, fromStore)
+			news = n.records.put(k, r.Records, fromStore)
 		}
 	}
 	at = n.clock.Now()
-	if len(list) > 0 {
-		at = list[0].At
+	if err == nil && r.Clock > 0 {
+		d.proof.Answered(sent, at, r.Clock, k == store.State && n.records.readable())
+	}
+	if len(r.Records) > 0 {
+		at = r.Records[0].At
 	}
 	if err != nil || len(news) == 0 {
-		return next, at, err
+		return r.Mark, at, err
 	}
 	d.spread(k, news)
 	pause(ctx, settle)
-	return next, at, nil
+	return r.Mark, at, nil
 }
 
 // look reads the kind from the store at once, since something was just written there.
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tinladder/tinladder/access"
 	"github.com/tinladder/tinladder/attempt"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/desired"
@@ -39,11 +40,15 @@
 
 // An exchange is one request on its way through this node.
 type exchange struct {
-	node     *Node
-	w        http.ResponseWriter
-	r        *http.Request
-	route    *desired.Route
-	headers  forward.Headers
+	node    *Node
+	w       http.ResponseWriter
+	r       *http.Request
+	route   *desired.Route
+	headers forward.Headers
+	// workspace is in whose name the request runs; nil if it needs no key.
+	workspace *access.Workspace
+	// keyed says that callers show keys, which no target may see.
+	keyed    bool
 	service  *service
 	pace     *pace
 	id       string
@@ -118,11 +123,19 @@
 func (x *exchange) ask() *pool.Ask {
 	return &pool.Ask{
 		Repeatable: x.route.Repeatable, Again: x.plan().Hedges(x.ran),
-		Rank: x.route.Rank, Began: x.began, Aim: x.route.Aim, Deadline: x.deadline, Not: x.tried,
+		Rank: x.rank(), Began: x.began, Aim: x.route.Aim, Deadline: x.deadline, Not: x.tried,
 		Bytes: x.pace.size(),
 	}
 }
 
+// rank says who waits when there is too much work: workspaces that have one of their own, before what their routes say.
+func (x *exchange) rank() uint32 {
+	if x.workspace != nil {
+		return x.workspace.Rank
+	}
+	return x.route.Rank
+}
+
 // context ends at the deadline, and when the caller of a repeatable request leaves. A request that
 // runs once goes on: nobody could tell whether it ran.
 func (x *exchange) context() (context.Context, context.CancelFunc) {
--- a/node/front.go
+++ b/node/front.go
@@ -50,6 +50,11 @@
 		refuse(Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyPause, Detail: "the route cannot be used: " + route.Fault})
 		return
 	}
+	space, problem := n.admit(t, route, r)
+	if problem != nil {
+		refuse(*problem)
+		return
+	}
 	if t.Limits.HeaderBytes > 0 && headerBytes(r) > t.Limits.HeaderBytes {
 		refuse(Problem{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "the header is too large"})
 		return
@@ -61,7 +66,19 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, t.Limits.BodyBytes)
 	}
-	newExchange(n, w, r, route, n.platform.Speech.Headers).serve(noTicket{})
+	x := newExchange(n, w, r, route, n.platform.Speech.Headers)
+	x.keyed = t.Access != nil
+	if space == nil {
+		x.serve(noTicket{})
+		return
+	}
+	if problem := n.within(space, r); problem != nil {
+		problem.workspace, problem.limit = space.Name, space.Rate.PerSecond
+		refuse(*problem)
+		return
+	}
+	x.workspace = space
+	x.serve(limitTicket{table: n.quotas.table, workspace: space.Name})
 }
 
 // headerBytes is the size of a request's line and header as it was sent.
@@ -89,7 +106,7 @@
 	n.metrics.refused(p.Status)
 	n.log.WithFields(logrus.Fields{
 		"event": "request_refused", "request": id, "host": r.Host, "path": r.URL.Path,
-		"status": p.Status, "reason": p.Detail, "retry_after_ms": p.RetryAfter, "version": n.stateVersion(),
+		"status": p.Status, "workspace": p.workspace, "limit": p.limit, "proof_ms": n.proofAge(), "reason": p.Detail, "retry_after_ms": p.RetryAfter, "version": n.stateVersion(),
 	}).Warn()
 }
 
@@ -122,6 +139,8 @@
 		return "leaving"
 	case n.members.Superseded():
 		return "a later process runs in this node's place"
+	case n.runsOut():
+		return "no word of the store on the keys that hold"
 	case n.records.table.Load() == nil && n.settings().Node.Operators == "":
 		return n.records.missing()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -79,6 +79,7 @@
 	peers    *peers
 	conns    *forward.Conns
 	limiter  *limiter
+	quotas   *quotas
 	ledger   *once.Ledger
 	configs  config.Log
 	writer   config.Writer
@@ -131,6 +132,7 @@
 	n.carriers = newCarriers(n)
 	n.peers = newPeers(n)
 	n.duty = newDuty(n)
+	n.quotas = newQuotas(n)
 	n.lag = newLag(n)
 	n.handOn = newHandOn(n.clock, s.Capacity.LinkMbps)
 	n.pulls = newPulls(n)
@@ -285,6 +287,7 @@
 	n.peers.tick()
 	n.duty.tick()
 	n.services.tick()
+	n.quotas.tick()
 	n.watch.tick()
 	n.traffic.tick()
 	n.events.setNodes(len(n.members.Live()) + 1)
--- a/node/outgoing.go
+++ b/node/outgoing.go
@@ -74,6 +74,7 @@
 	for _, name := range nodesOnly {
 		h.Del(name)
 	}
+	x.identify(h)
 	h.Set(x.headers.RequestID, x.id)
 	h.Set(x.headers.Deadline, strconv.FormatInt(int64(max(x.deadline-x.node.clock.Now()-sendMargin, 1)), 10))
 	if x.headers.Instance != "" {
@@ -92,6 +93,20 @@
 	return r
 }
 
+// identify tells the target in whose name the request runs, whatever the caller said of that, and keeps the
+// caller's key from it: a target, or whoever reads its logs, could ask in the workspace's name.
+func (x *exchange) identify(h http.Header) {
+	if x.headers.Workspace != "" {
+		forward.DropAlike(h, x.headers.Workspace)
+	}
+	if x.keyed && x.headers.Key != "" {
+		forward.DropAlike(h, x.headers.Key)
+	}
+	if x.workspace != nil {
+		h.Set(x.headers.Workspace, string(x.workspace.Name))
+	}
+}
+
 func (x *exchange) request(h http.Header) *forward.Request {
 	return &forward.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h,
--- a/node/peers.go
+++ b/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,7 +99,7 @@
 func (p *peers) Sync(_ context.Context, req *connect.Request[tlv1.SyncRequest]) (*connect.Response[tlv1.SyncResponse], error) {
 	n := p.node
 	n.members.Merge(req.Msg.GetMembers())
-	res := &tlv1.SyncResponse{Kinds: n.duty.kindSums()}
+	res := &tlv1.SyncResponse{Kinds: n.duty.kindSums(), StoreNow: int64(n.duty.proof.Latest(n.clock.Now()))}
 	if !req.Msg.GetRecordsOnly() {
 		res.Members, res.Reports = n.members.All(), n.services.reports()
 	}
@@ -134,6 +135,14 @@
 	}
 }
 
+// lonely says whether this node has met no other one, though its settings name some.
+func (p *peers) lonely() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	self := p.node.settings().Node.PeersAddress()
+	return !p.joined && slices.ContainsFunc(p.node.settings().Fleet.Seeds, func(a string) bool { return a != self })
+}
+
 // tick looks for others until there are any, and then compares this node with one now and then.
 func (p *peers) tick() {
 	now := p.node.clock.Now()
@@ -197,6 +206,7 @@
 		}).Info()
 		return false
 	}
+	n.duty.proof.Told(begun, clock.Millis(res.Msg.GetStoreNow()))
 	n.members.Merge(res.Msg.GetMembers())
 	for _, r := range res.Msg.GetRecords() {
 		n.records.hear(r, address)
--- a/node/problem.go
+++ b/node/problem.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/ident"
 )
 
 // An Outcome says of a request without a target's answer whether it ran.
@@ -30,6 +31,9 @@
 	Outcome Outcome `json:"outcome"`
 	// RetryAfter is when it is worth coming back; 0 says nothing of it.
 	RetryAfter clock.Millis `json:"retry_after_ms,omitempty"`
+	// workspace is in whose name the request came, and limit what it may ask by the second, for the log.
+	workspace ident.Workspace
+	limit     float64
 	// fractions says that the caller reads fractions of seconds.
 	fractions bool
 }
--- /dev/null
+++ b/node/quotas.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/tinladder/tinladder/access"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/limit"
+	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+)
+
+const (
+	// borrowWait is how long a request waits for what this node asks others for: a way between halls and back,
+	// several times.
+	borrowWait clock.Millis = 25
+	// farAsked is how many nodes of other halls are asked beside those of this one.
+	farAsked = 6
+	// limitYoung is for how long a process that has started takes others for unknown to it, and aloneFor for how long
+	// one that should meet others and has not takes itself for cut off.
+	limitYoung = 2 * clock.Second
+	aloneFor   = 1 * clock.Minute
+)
+
+// quotas holds workspaces to their limits over the fleet: it moves what nodes lend each other.
+type quotas struct {
+	node  *Node
+	table *limit.Table
+	known peak
+
+	mu sync.Mutex
+	// came is closed when something was lent to this node.
+	came chan struct{}
+}
+
+func newQuotas(n *Node) *quotas {
+	w := n.settings().Workspaces
+	b := limit.Bounds{Window: w.Window.Millis(), Overshoot: w.Overshoot, Slack: w.Slack}
+	return &quotas{node: n, table: limit.New(n.clock, b), known: peak{keep: limitKnownFor}, came: make(chan struct{})}
+}
+
+// tick follows who shares the limits.
+func (q *quotas) tick() {
+	v := q.view()
+	if share, changed := q.table.Tick(v); changed {
+		q.node.log.WithFields(logrus.Fields{
+			"event": "limit_share", "share": fmt.Sprintf("%.4f", share), "carriers": v.Carriers, "carries": v.Carries,
+			"live": v.Live, "known": v.Known, "alone": v.Alone, "young": v.Young,
+		}).Info()
+	}
+}
+
+// view is what this node sees of those that callers are sent to.
+func (q *quotas) view() limit.View {
+	n := q.node
+	now := n.clock.Now()
+	live := len(n.members.Live()) + 1
+	serving := n.carriers.serving()
+	age := now - n.duty.since
+	return limit.View{
+		Carries:  slices.ContainsFunc(serving, func(m *tlv1.Member) bool { return processOf(m) == n.self }),
+		Carriers: len(serving), Live: live, Known: q.known.see(live, now),
+		Alone: n.peers.lonely() && age < aloneFor, Young: age < limitYoung,
+	}
+}
+
+// admit says whether the workspace may make a request now. If not it says when to come back, and whether this node
+// knows that the limit is reached: one that hears too few others has no part of it.
+func (q *quotas) admit(ctx context.Context, w *access.Workspace) (admitted bool, wait clock.Millis, reached bool) {
+	if !w.Rate.Bounded() {
+		return true, 0, false
+	}
+	admitted, question := q.table.Take(w.Name, w.Rate)
+	if question != nil {
+		q.ask(question)
+	}
+	if admitted || q.waitFor(ctx, w) {
+		return true, 0, false
+	}
+	return false, q.table.Refused(w.Name, w.Rate), q.view().Deals()
+}
+
+// waitFor waits for what other nodes were asked for, if they were just now.
+func (q *quotas) waitFor(ctx context.Context, w *access.Workspace) bool {
+	ctx, cancel := context.WithTimeout(ctx, borrowWait.Duration())
+	defer cancel()
+	for {
+		came := q.arrivals()
+		if q.table.Again(w.Name, w.Rate) {
+			return true
+		}
+		if !q.table.Asking(w.Name, borrowWait) {
+			return false
+		}
+		select {
+		case <-came:
+		case <-ctx.Done():
+			return q.table.Again(w.Name, w.Rate)
+		case <-time.After(borrowWait.Duration()):
+		}
+	}
+}
+
+// arrivals returns what is closed when something is lent.
+func (q *quotas) arrivals() <-chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.came
+}
+
+// ask asks those of this hall that share the limit, and some of the other halls by chance.
+func (q *quotas) ask(x *limit.Question) {
+	n := q.node
+	var near, far []string
+	for _, m := range n.carriers.serving() {
+		switch {
+		case m.GetNode() == string(n.self.Node):
+		case hallOf(m) == n.hall():
+			near = append(near, m.GetGossipAddress())
+		default:
+			far = append(far, m.GetGossipAddress())
+		}
+	}
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	n.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Borrow{Borrow: &tlv1.Borrow{
+		Node: string(n.self.Node), Address: n.settings().Node.PeersAddress(), Workspace: string(x.Workspace), Amount: x.Amount, Seq: x.Seq,
+	}}}, append(near, far[:min(farAsked, len(far))]...)...)
+}
+
+// lend hands over a part of what this node may admit, if it can spare any.
+func (q *quotas) lend(b *tlv1.Borrow) {
+	t := q.node.records.table.Load()
+	if t == nil || t.Access == nil || b.GetNode() == string(q.node.self.Node) {
+		return
+	}
+	w := t.Access.Workspaces()[ident.Workspace(b.GetWorkspace())]
+	if w == nil || !w.Rate.Bounded() {
+		return
+	}
+	amount := q.table.Lend(w.Name, w.Rate, b.GetAmount())
+	if amount == 0 {
+		return
+	}
+	q.node.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Lend{Lend: &tlv1.Lend{
+		Node: string(q.node.self.Node), Workspace: string(w.Name), Amount: amount, Seq: b.GetSeq(),
+	}}}, b.GetAddress())
+}
+
+// borrowed takes in what another node hands over.
+func (q *quotas) borrowed(x *tlv1.Lend) {
+	q.table.Borrowed(ident.Workspace(x.GetWorkspace()), ident.Node(x.GetNode()), x.GetAmount(), x.GetSeq())
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	close(q.came)
+	q.came = make(chan struct{})
+}
+
+// A limitTicket gives back what was taken for a request that did not run.
+type limitTicket struct {
+	noTicket
+	table     *limit.Table
+	workspace ident.Workspace
+}
+
+// Void implements ticket.
+func (t limitTicket) Void() {
+	t.table.Return(t.workspace)
+}
--- a/node/records.go
+++ b/node/records.go
@@ -117,7 +117,7 @@
 		}
 		for _, err := range t.Faults() {
 			n.metrics.recordRefused(store.State, false)
-			n.log.WithFields(logrus.Fields{"event": "route_refused", "version": t.Version, "from": from, "error": err}).Error()
+			n.log.WithFields(logrus.Fields{"event": "part_refused", "version": t.Version, "from": from, "error": err}).Error()
 		}
 		n.metrics.stateVersion(uint64(t.Version))
 		n.log.WithFields(logrus.Fields{
@@ -139,6 +139,13 @@
 	}
 }
 
+// readable says whether this node holds the newest state that it has seen: one that the store has and that cannot be
+// read may take away what the one in force allows.
+func (r *records) readable() bool {
+	x := r.refused.Load()
+	return x == nil || x.Version <= r.sets[store.State].Newest()
+}
+
 // missing says why there is no desired state.
 func (r *records) missing() string {
 	if x := r.refused.Load(); x != nil {
@@ -210,14 +217,17 @@
 	slots   int
 	leaving bool
 	warmAt  clock.Millis
+	// life tells the target's starts under one id apart, and seq counts what it wrote in this one.
+	life, seq uint64
 }
 
 // targets returns all targets that registered themselves. The caller must not change them. They are decoded when a
 // record has changed, and not with each change among the nodes: while 291 nodes start, that is ten times a second.
 func (r *records) targets() []target {
 	sum := r.sets[store.Targets].Sum()
-	if d := r.decoded.Load(); d != nil && d.sum == sum {
-		return d.targets
+	old := r.decoded.Load()
+	if old != nil && old.sum == sum {
+		return old.targets
 	}
 	var list []target
 	for _, x := range r.sets[store.Targets].Live() {
@@ -225,13 +235,46 @@
 			list = append(list, target{
 				id: ident.Target(x.Key), service: t.GetService(), address: t.GetAddress(), hall: ident.Hall(t.GetHall()),
 				slots: int(t.GetSlots()), leaving: t.GetLeaving(), warmAt: x.At + clock.Millis(t.GetColdMs()),
+				life: uint64(t.GetBorn()), seq: t.GetSeq(),
 			})
 		}
 	}
+	if old != nil {
+		r.tellLives(old.targets, list)
+	}
 	r.decoded.Store(&decoded{sum: sum, targets: list})
 	return list
 }
 
+// tellLives finds targets that have started again under their ids since they were decoded before. The connections
+// to their former lives are given up: nobody answers on them.
+func (r *records) tellLives(before, now []target) {
+	known := make(map[ident.Target]*target, len(before))
+	for i := range before {
+		known[before[i].id] = &before[i]
+	}
+	for i := range now {
+		t := &now[i]
+		was := known[t.id]
+		if was == nil {
+			continue
+		}
+		if t.life == 0 { // it does not say when it started: what it wrote is counted anew
+			t.life = was.life
+			if t.seq < was.seq {
+				t.life++
+			}
+		}
+		if t.life == was.life {
+			continue
+		}
+		r.node.conns.Forget(was.address)
+		r.node.log.WithFields(logrus.Fields{
+			"event": "target_reborn", "target": t.id, "service": t.service, "address": t.address, "life": t.life, "was": was.life,
+		}).Warn()
+	}
+}
+
 // wire returns records as other nodes are told of them.
 func (r *records) wire(k store.Kind, list []replica.Record) *tlv1.Records {
 	now := r.node.clock.Now()
--- a/node/retries.go
+++ b/node/retries.go
@@ -31,8 +31,13 @@
 	})
 }
 
+// limitKnownFor is how long nodes that were heard count for limits: a cut may last for minutes.
+const limitKnownFor = 5 * clock.Minute
+
 // A peak is the most of something of late.
 type peak struct {
+	// keep is how long the most counts.
+	keep clock.Millis
 	mu   sync.Mutex
 	most int
 	at   clock.Millis
@@ -42,7 +47,7 @@
 func (p *peak) see(n int, now clock.Millis) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n >= p.most || now-p.at > knownFor {
+	if n >= p.most || now-p.at > p.keep {
 		p.most, p.at = n, now
 	}
 	return p.most
--- a/node/services.go
+++ b/node/services.go
@@ -56,7 +56,7 @@
 }
 
 func newServices(n *Node) *services {
-	return &services{node: n, byName: map[string]*service{}}
+	return &services{node: n, byName: map[string]*service{}, most: peak{keep: knownFor}}
 }
 
 // get returns the service, making it if there is none.
@@ -134,7 +134,7 @@
 			turn = s.turn(t, near)
 		}
 		byService[t.service] = append(byService[t.service], pool.Target{
-			ID: t.id, Address: t.address, Slots: t.slots, Leaving: t.leaving, WarmAt: t.warmAt,
+			ID: t.id, Address: t.address, Slots: t.slots, Leaving: t.leaving, WarmAt: t.warmAt, Life: t.life,
 			Hall: t.hall, Near: near, Ours: turn >= 0, Turn: max(turn, 0),
 		})
 	}
--- a/node/wire.go
+++ b/node/wire.go
@@ -172,6 +172,10 @@
 			n.records.hear(b.Records, "peer")
 		case *tlv1.Parcel_Report:
 			n.services.hear(b.Report)
+		case *tlv1.Parcel_Borrow:
+			n.quotas.lend(b.Borrow)
+		case *tlv1.Parcel_Lend:
+			n.quotas.borrowed(b.Lend)
 		}
 	}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -41,6 +41,8 @@
 	Ours bool
 	// Turn is this node's place among those whose part the target is, from 0: the first one tries it.
 	Turn int
+	// Life tells apart the lives of a target that starts again under its id: a later one knows nothing of before.
+	Life uint64
 	// Leaving targets take no new work.
 	Leaving bool
 	// WarmAt is until when the target is slow from its start.
@@ -89,9 +91,11 @@
 
 type target struct {
 	Target
-	belief belief.Belief
-	mine   int
-	peers  map[ident.Process]*peerSeen
+	// rebornAt is when this node learned that the target had started again under its id; 0 if it never did.
+	rebornAt clock.Millis
+	belief   belief.Belief
+	mine     int
+	peers    map[ident.Process]*peerSeen
 	// others is what they have in flight, as summed at othersAt.
 	others   int
 	othersAt clock.Millis
@@ -191,9 +195,13 @@
 	p.order = p.order[:0]
 	for _, d := range targets {
 		t := p.targets[d.ID]
-		if t == nil {
+		reborn := t != nil && t.Life != d.Life
+		if t == nil || reborn {
 			t = &target{belief: belief.New(&p.tuning.Model, now), peers: map[ident.Process]*peerSeen{}, known: now, joined: len(p.targets) > 0}
 		}
+		if reborn {
+			t.rebornAt = now
+		}
 		t.Target = d
 		named[d.ID] = t
 		p.order = append(p.order, t)
--- a/pool/share.go
+++ b/pool/share.go
@@ -36,7 +36,7 @@
 		r.Seen = append(r.Seen, &tlv1.Seen{
 			Target: string(t.ID), OkMs: age(t.okAt, now), FailedMs: age(t.failedAt, now),
 			Failed: t.failures, Late: t.lates, InFlight: uint32(t.mine), Unreachable: now < t.blockedUntil, Leaving: t.left,
-			Failing: uint32(t.belief.Failing(&p.tuning.Model, now) * thousand), KnownMs: age(t.knownAt, now),
+			Life: t.lifeTold(), Failing: uint32(t.belief.Failing(&p.tuning.Model, now) * thousand), KnownMs: age(t.knownAt, now),
 		})
 	}
 	if len(r.Seen) == 0 && !whole {
@@ -47,6 +47,34 @@
 	return r
 }
 
+const (
+	// lifeBits of a life are told: two lives of one target are told apart by them.
+	lifeBits = 0xffff
+	// rebirthTold is how long after a target started again another node may not have heard of it.
+	rebirthTold = 5 * clock.Second
+)
+
+// lifeTold is the target's life as other nodes are told of it; 0 if this node knows of no other.
+func (t *target) lifeTold() uint32 {
+	if t.rebornAt == 0 {
+		return 0
+	}
+	return t.lifeTag()
+}
+
+func (t *target) lifeTag() uint32 {
+	return uint32(t.Life&lifeBits) | (lifeBits + 1)
+}
+
+// otherLife says whether what another node has seen is of another life of the target: what it says of failures or
+// of leaving is nothing to the present one.
+func (t *target) otherLife(s *tlv1.Seen, now clock.Millis) bool {
+	if s.GetLife() != 0 {
+		return s.GetLife() != t.lifeTag()
+	}
+	return t.rebornAt > 0 && now-t.rebornAt < rebirthTold
+}
+
 func age(at, now clock.Millis) int64 {
 	if at == 0 {
 		return never
@@ -60,7 +88,7 @@
 	now := p.clock.Now()
 	p.peerEnded[from] = peerTally{tally: tally{asked: int(r.GetAsked()), unserved: int(r.GetUnserved()), failed: int(r.GetFailed())}, at: now}
 	for _, s := range r.GetSeen() {
-		if t := p.targets[ident.Target(s.GetTarget())]; t != nil {
+		if t := p.targets[ident.Target(s.GetTarget())]; t != nil && !t.otherLife(s, now) {
 			p.hear(t, from, s, now)
 		}
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -80,6 +80,9 @@
 	Leave Span `toml:"leave"`
 	// Valid is the longest that callers keep an answer of the directory.
 	Valid Span `toml:"valid"`
+	// Revoke is how soon after a key was taken away no request with it may run, also on nodes that cannot know; 0
+	// if keys are taken by what a node knows, however old that is.
+	Revoke Span `toml:"revoke"`
 }
 
 // Retries bounds further attempts, over the whole fleet.
@@ -91,6 +94,14 @@
 	Window Span    `toml:"window"`
 }
 
+// Workspaces bounds what they may ask for, over the whole fleet: in any window of this length no more than their
+// rate and burst allow, times one more than the overshoot, and the slack.
+type Workspaces struct {
+	Window    Span    `toml:"window"`
+	Overshoot float64 `toml:"overshoot"`
+	Slack     float64 `toml:"slack"`
+}
+
 // Operators says who may do everything.
 type Operators struct {
 	AdminTokenSHA256 string `toml:"admin_token_sha256"`
@@ -123,16 +134,17 @@
 
 // Settings is the whole file.
 type Settings struct {
-	Node      Node      `toml:"node"`
-	Store     Store     `toml:"store"`
-	Fleet     Fleet     `toml:"fleet"`
-	Bounds    Bounds    `toml:"bounds"`
-	Retries   Retries   `toml:"retries"`
-	Operators Operators `toml:"operators"`
-	Limits    Limits    `toml:"limits"`
-	Capacity  Capacity  `toml:"capacity"`
-	Log       Log       `toml:"log"`
-	Trial     Trial     `toml:"trial"`
+	Node       Node       `toml:"node"`
+	Store      Store      `toml:"store"`
+	Fleet      Fleet      `toml:"fleet"`
+	Bounds     Bounds     `toml:"bounds"`
+	Retries    Retries    `toml:"retries"`
+	Workspaces Workspaces `toml:"workspaces"`
+	Operators  Operators  `toml:"operators"`
+	Limits     Limits     `toml:"limits"`
+	Capacity   Capacity   `toml:"capacity"`
+	Log        Log        `toml:"log"`
+	Trial      Trial      `toml:"trial"`
 }
 
 // Defaults for what the file leaves out. The bounds are those of the users' platform.
@@ -147,6 +159,10 @@
 	defaultRatio       = 0.2
 	defaultSlack       = 60
 	defaultWindow      = 10 * clock.Second
+	defaultOvershoot   = 0.1
+	defaultQuotaSlack  = 20
+	defaultQuotaWindow = 5 * clock.Second
+	leastRevoke        = 1 * clock.Second
 	defaultCores       = 1
 	defaultLinkMbps    = 1000
 	minKeyBytes        = 16
@@ -159,10 +175,11 @@
 		Bounds: Bounds{
 			Apply: Span(defaultApply), Grace: Span(defaultGrace), Leave: Span(defaultLeave), Valid: Span(defaultValid),
 		},
-		Retries:  Retries{Ratio: defaultRatio, Slack: defaultSlack, Window: Span(defaultWindow)},
-		Limits:   Limits{Requests: defaultRequests, BodyBytes: defaultBodyBytes, HeaderBytes: defaultHeaderBytes},
-		Capacity: Capacity{Cores: defaultCores, LinkMbps: defaultLinkMbps},
-		Log:      Log{Level: "info"},
+		Retries:    Retries{Ratio: defaultRatio, Slack: defaultSlack, Window: Span(defaultWindow)},
+		Workspaces: Workspaces{Window: Span(defaultQuotaWindow), Overshoot: defaultOvershoot, Slack: defaultQuotaSlack},
+		Limits:     Limits{Requests: defaultRequests, BodyBytes: defaultBodyBytes, HeaderBytes: defaultHeaderBytes},
+		Capacity:   Capacity{Cores: defaultCores, LinkMbps: defaultLinkMbps},
+		Log:        Log{Level: "info"},
 	}
 }
 
@@ -258,6 +275,13 @@
 	c.positive("bounds.leave", int64(s.Bounds.Leave))
 	c.positive("bounds.valid", int64(s.Bounds.Valid))
 	c.positive("retries.window", int64(s.Retries.Window))
+	c.positive("workspaces.window", int64(s.Workspaces.Window))
+	if r := s.Bounds.Revoke.Millis(); r != 0 && r < leastRevoke {
+		c.add("bounds.revoke", "%d ms is less than word of the store takes; at least %d", r, leastRevoke)
+	}
+	if !(s.Workspaces.Overshoot >= 0) || !(s.Workspaces.Slack >= 0) {
+		c.add("workspaces", "overshoot %v and slack %v may not be negative", s.Workspaces.Overshoot, s.Workspaces.Slack)
+	}
 	c.positive("limits.requests", int64(s.Limits.Requests))
 	c.positive("limits.body_bytes", s.Limits.BodyBytes)
 	c.positive("limits.header_bytes", int64(s.Limits.HeaderBytes))
--- a/store/store.go
+++ b/store/store.go
@@ -97,11 +97,20 @@
 // A Mark is a place in a kind's changes, to go on from.
 type Mark uint64
 
+// A Reply struct is what the store says of a kind's records.
+type Reply struct {
+	Records []replica.Record
+	// Mark is where to go on from: up to there the records are all there are.
+	Mark Mark
+	// Clock is what the store's own steady clock showed then; 0 if it tells none.
+	Clock clock.Millis
+}
+
 // A Source is where records are kept.
 type Source interface {
 	// Read returns all records of the kind.
-	Read(ctx context.Context, k Kind) ([]replica.Record, Mark, error)
+	Read(ctx context.Context, k Kind) (Reply, error)
 	// Follow returns the changes since the mark as soon as there are any, or none after the wait. It
 	// fails with ErrGap when it no longer knows them.
-	Follow(ctx context.Context, k Kind, m Mark, wait clock.Millis) ([]replica.Record, Mark, error)
+	Follow(ctx context.Context, k Kind, m Mark, wait clock.Millis) (Reply, error)
 }
