--- a/limit/deal.go
+++ b/limit/deal.go
@@ -22,6 +22,8 @@
 	Alone bool
 	// Young nodes have just started, and may not know all others yet.
 	Young bool
+	// Fresh says that nearly all others have just started too: nobody used their parts since this process began.
+	Fresh bool
 }
 
 // Deals says whether the node hears enough others to know its part, and that of the rest.
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -30,29 +30,34 @@
 	// lentFor is how long what was borrowed may be on its way, or used beyond what the borrower may save, from when it
 	// was asked for. It is time in which requests are on nobody's account, and shortens what may be dealt out.
 	lentFor clock.Millis = 500
-	// rateShare is the part of what the window allows by the second that is dealt out. The rest is for nodes that
-	// see different others for a while.
-	rateShare = 0.95
-	// slackShare is the part of the slack that is dealt out as burst, and startShare the part that nodes that have
-	// just started have at once: all of a fleet may start twice in a window.
-	slackShare = 0.75
-	startShare = 0.1
+	// rateShare is the part of what the window allows by the second that is dealt out by the second. It is above what
+	// workspaces usually ask, 0.63 of their rate; the rest is saved for bursts and starts.
+	rateShare = 0.85
+	// mostShare is the part of that which may be saved for bursts, and startShare the part that a fleet has when it
+	// starts, when all that was refused meanwhile comes back at once: it may start twice in a window. What is left is
+	// for nodes that see different others for a while.
+	mostShare  = 0.6
+	startShare = 0.17
 )
 
 // perMilli returns what all nodes together are given by the millisecond.
 func (b Bounds) perMilli(r Rate) float64 {
-	w := float64(b.Window)
-	return r.PerSecond / float64(clock.Second) * (1 + b.Overshoot) * w / (w + float64(lentFor)) * rateShare
+	return r.PerSecond / float64(clock.Second) * (1 + b.Overshoot) * float64(b.Window) / float64(b.Window+lentFor) * rateShare
+}
+
+// spare returns how many requests the window allows beside those by the second.
+func (b Bounds) spare(r Rate) float64 {
+	return b.Allowed(r) - b.perMilli(r)*float64(b.Window+lentFor)
 }
 
 // most returns how much all nodes together may have saved.
 func (b Bounds) most(r Rate) float64 {
-	return r.Burst + b.Slack*slackShare
+	return b.spare(r) * mostShare
 }
 
 // start returns how much all nodes together have when they start.
 func (b Bounds) start(r Rate) float64 {
-	return b.Slack*startShare + r.Burst*b.Overshoot/2
+	return b.spare(r) * startShare
 }
 
 // Allowed returns how many requests the fleet may make in a window.
--- a/limit/table.go
+++ b/limit/table.go
@@ -36,15 +36,19 @@
 	mu       sync.Mutex
 	accounts map[ident.Workspace]*account
 	share    float64
-	// since is from when the accounts that were not opened yet have been filling.
+	// began is when the process did, and since from when the accounts that were not opened yet have been filling.
+	began  clock.Millis
 	since  clock.Millis
 	ticked clock.Millis
+	// fresh says that all nodes started with this process, and that it had a part ever since: it has what fleets have
+	// when they start.
+	fresh bool
 }
 
 // New returns a table of a node that has just started: it has no part of any limit yet.
 func New(c clock.Clock, b Bounds) *Table {
 	now := c.Now()
-	return &Table{clock: c, bounds: b, accounts: map[ident.Workspace]*account{}, since: now, ticked: now}
+	return &Table{clock: c, bounds: b, accounts: map[ident.Workspace]*account{}, began: now, since: now, ticked: now}
 }
 
 // Tick says that the process runs, and what its part of each limit is by its view of the others. It returns the part,
@@ -54,15 +58,20 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	share = v.Share(t.share)
-	if now-t.ticked > stalled || t.share == 0 && share > 0 {
+	fresh := v.Fresh && t.since == t.began && now-t.ticked <= stalled
+	if now-t.ticked > stalled || t.share == 0 && share > 0 && !fresh {
 		t.beginAnew(now)
 	}
-	t.ticked = now
+	t.ticked, t.fresh = now, t.fresh || fresh
 	if share == t.share {
 		return share, false
 	}
+	gained := share - t.share
 	for _, a := range t.accounts {
 		t.fill(a, now) // at the old share up to now
+		if fresh {
+			a.level = max(a.level+gained*(t.bounds.start(a.rate)+t.bounds.perMilli(a.rate)*float64(now-t.began)), 0)
+		}
 	}
 	t.share = share
 	for _, a := range t.accounts {
@@ -71,9 +80,9 @@
 	return share, true
 }
 
-// beginAnew forgets what was saved: while this process stood still or had no part, others used it.
+// beginAnew forgets what was saved before: while this process stood still or had no part, others used it.
 func (t *Table) beginAnew(now clock.Millis) {
-	t.since = now
+	t.since, t.fresh = now, false
 	for _, a := range t.accounts {
 		a.level, a.at, a.loans = 0, now, nil
 	}
@@ -98,7 +107,10 @@
 		if len(t.accounts) >= maxAccounts {
 			t.forget(now)
 		}
-		a = &account{rate: r, level: t.bounds.start(r) * t.share, at: t.since, usualAt: now, pause: askPause}
+		a = &account{rate: r, at: t.since, usualAt: now, pause: askPause}
+		if t.fresh {
+			a.level = t.bounds.start(r) * t.share
+		}
 		t.accounts[w] = a
 	}
 	t.fill(a, now)
@@ -138,15 +150,16 @@
 }
 
 // Again admits a request that was not admitted before, if there is something for it by now.
-func (t *Table) Again(w ident.Workspace, r Rate) bool {
+func (t *Table) Again(w ident.Workspace, r Rate) (admitted bool, q *Question) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	a := t.account(w, r, t.clock.Now())
-	if !a.takeOne() {
-		return false
+	now := t.clock.Now()
+	a := t.account(w, r, now)
+	if admitted = a.takeOne(); admitted {
+		a.used++
+		return true, nil
 	}
-	a.used++
-	return true
+	return false, t.question(w, a, now)
 }
 
 // Refused counts a request that was not admitted, and returns when the node will have a part for one, and for those
--- a/node/peers.go
+++ b/node/peers.go
@@ -26,6 +26,10 @@
 	syncPause clock.Millis = 50
 	// mergeEvery is how often a node compares itself with another without a reason.
 	mergeEvery = 15 * clock.Second
+	// startMerges is how often it does so for startFor from its start: those that it asked first may have started with
+	// it, and know as few.
+	startMerges clock.Millis = 200
+	startFor    clock.Millis = 1500
 	// joinFor is how long a node that knows nobody asks all its seeds at once, again and again.
 	joinFor = 2 * clock.Second
 	// peerIdle is how long connections to other nodes are kept.
@@ -99,7 +103,10 @@
 func (p *peers) Sync(_ context.Context, req *connect.Request[tlv1.SyncRequest]) (*connect.Response[tlv1.SyncResponse], error) {
 	n := p.node
 	n.members.Merge(req.Msg.GetMembers())
-	res := &tlv1.SyncResponse{Kinds: n.duty.kindSums(), StoreNow: int64(n.duty.proof.Latest(n.clock.Now()))}
+	res := &tlv1.SyncResponse{
+		Kinds: n.duty.kindSums(), StoreNow: int64(n.duty.proof.Latest(n.clock.Now())),
+		Known: uint32(n.quotas.known.see(len(n.members.Live())+1, n.clock.Now())),
+	}
 	if !req.Msg.GetRecordsOnly() {
 		res.Members, res.Reports = n.members.All(), n.services.reports()
 	}
@@ -148,7 +155,7 @@
 	now := p.node.clock.Now()
 	p.mu.Lock()
 	joining := !p.joined && now-p.node.duty.since < joinFor
-	due := now-p.mergedAt >= mergeEvery
+	due := now-p.mergedAt >= mergeEvery || now-p.node.duty.since < startFor && now-p.mergedAt >= startMerges
 	if due {
 		p.mergedAt = now
 	}
@@ -207,6 +214,7 @@
 		return false
 	}
 	n.duty.proof.Told(begun, clock.Millis(res.Msg.GetStoreNow()))
+	n.quotas.known.see(int(res.Msg.GetKnown()), n.clock.Now())
 	n.members.Merge(res.Msg.GetMembers())
 	for _, r := range res.Msg.GetRecords() {
 		n.records.hear(r, address)
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -20,12 +20,20 @@
 	// borrowWait is how long a request waits for what this node asks others for: a way between halls and back,
 	// several times.
 	borrowWait clock.Millis = 25
+	// startWait is the same on a process that has just started.
+	startWait clock.Millis = 300
 	// farAsked is how many nodes of other halls are asked beside those of this one.
 	farAsked = 6
 	// limitYoung is for how long a process that has started takes others for unknown to it, and aloneFor for how long
 	// one that should meet others and has not takes itself for cut off.
 	limitYoung = 2 * clock.Second
-	aloneFor   = 1 * clock.Minute
+	// settledFor is for how long no other node must have become known for all to be.
+	settledFor clock.Millis = 350
+	// freshWithin is how far apart processes may have started, by their VMs' clocks, to have started at once; freshOld
+	// is the share of others that may be older.
+	freshWithin = 3 * clock.Second
+	freshOld    = 0.05
+	aloneFor    = 1 * clock.Minute
 )
 
 // quotas holds workspaces to their limits over the fleet: it moves what nodes lend each other.
@@ -35,6 +43,9 @@
 	known peak
 
 	mu sync.Mutex
+	// live is how many nodes were heard when last looked, and liveAt since when it has been so many.
+	live   int
+	liveAt clock.Millis
 	// came is closed when something was lent to this node.
 	came chan struct{}
 }
@@ -62,14 +73,28 @@
 	now := n.clock.Now()
 	live := len(n.members.Live()) + 1
 	serving := n.carriers.serving()
-	age := now - n.duty.since
+	q.count(live, now)
+	started := now-n.duty.since < limitYoung
 	return limit.View{
 		Carries:  slices.ContainsFunc(serving, func(m *tlv1.Member) bool { return processOf(m) == n.self }),
 		Carriers: len(serving), Live: live, Known: q.known.see(live, now),
-		Alone: n.peers.lonely() && age < aloneFor, Young: age < limitYoung,
+		Alone: n.peers.lonely() && now-n.duty.since < aloneFor, Young: q.young(), Fresh: started && q.fresh(),
 	}
 }
 
+// fresh says whether nearly all nodes that are known have started when this one did.
+func (q *quotas) fresh() bool {
+	n := q.node
+	old := 0
+	live := n.members.Live()
+	for _, m := range live {
+		if apart := int64(m.GetIncarnation()) - int64(n.self.Incarnation); max(apart, -apart) > int64(freshWithin) {
+			old++
+		}
+	}
+	return float64(old) <= freshOld*float64(len(live))
+}
+
 // admit says whether the workspace may make a request now. If not it says when to come back, and whether this node
 // knows that the limit is reached: one that hears too few others has no part of it.
 func (q *quotas) admit(ctx context.Context, w *access.Workspace) (admitted bool, wait clock.Millis, reached bool) {
@@ -86,25 +111,52 @@
 	return false, q.table.Refused(w.Name, w.Rate), q.view().Deals()
 }
 
-// waitFor waits for what other nodes were asked for, if they were just now.
+// waitFor waits for what other nodes were asked for, if they were just now. On a process that has just started it
+// waits longer: the others become known one after the other.
 func (q *quotas) waitFor(ctx context.Context, w *access.Workspace) bool {
-	ctx, cancel := context.WithTimeout(ctx, borrowWait.Duration())
+	wait := borrowWait
+	if q.young() {
+		wait = startWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
-	for {
+	for ctx.Err() == nil {
 		came := q.arrivals()
-		if q.table.Again(w.Name, w.Rate) {
+		admitted, question := q.table.Again(w.Name, w.Rate)
+		switch {
+		case admitted:
 			return true
-		}
-		if !q.table.Asking(w.Name, borrowWait) {
+		case question != nil:
+			q.ask(question)
+		case !q.young() && !q.table.Asking(w.Name, borrowWait):
 			return false
 		}
 		select {
 		case <-came:
 		case <-ctx.Done():
-			return q.table.Again(w.Name, w.Rate)
 		case <-time.After(borrowWait.Duration()):
 		}
 	}
+	admitted, _ := q.table.Again(w.Name, w.Rate)
+	return admitted
+}
+
+// young says whether this process has just started, and may not know yet who else there is: others become known one
+// after the other, and then no more.
+func (q *quotas) young() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.node.clock.Now()
+	return now-q.node.duty.since < limitYoung && now-q.liveAt < settledFor
+}
+
+// count notes how many nodes are heard.
+func (q *quotas) count(live int, now clock.Millis) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if live != q.live {
+		q.live, q.liveAt = live, now
+	}
 }
 
 // arrivals returns what is closed when something is lent.
