--- a/member/member.go
+++ b/member/member.go
@@ -79,6 +79,11 @@
 	n.left[node] = times
 }
 
+// addAtLeast is add for news that may be passed on oftener already.
+func (n *news) addAtLeast(node string, times int) {
+	n.left[node] = max(n.left[node], times)
+}
+
 // take returns up to limit nodes to tell of, those told least first, and counts them as told.
 func (n *news) take(limit int) []string {
 	nodes := make([]string, 0, len(n.left))
--- a/member/table.go
+++ b/member/table.go
@@ -216,9 +216,15 @@
 	t.news.add(t.self.GetNode(), t.spreadTimes())
 }
 
-// spreadTimes is how often news is passed on: enough to reach all with near certainty.
+// spreadTimes is how often news is passed on: enough to reach all with near certainty. Each node that hears it passes it
+// on as often; of 300, one in 10^8 or so misses what is passed on 20 times by all others.
 func (t *Table) spreadTimes() int {
-	return 4 * (bits.Len(uint(len(t.entries)+1)) + 1)
+	return 2 * (bits.Len(uint(len(t.entries)+1)) + 1)
+}
+
+// busyTimes is how often it is passed on how busy a node is: there is a newer word soon.
+func (t *Table) busyTimes() int {
+	return bits.Len(uint(len(t.entries) + 1))
 }
 
 func (t *Table) message(kind tlv1.GossipKind, seq uint64, address string) Send {
@@ -335,9 +341,11 @@
 		next.goneAt = int64(now)
 	}
 	t.entries[m.GetNode()] = next
-	if moved {
-		t.version++
+	if !moved {
+		t.news.addAtLeast(m.GetNode(), t.busyTimes())
+		return true
 	}
+	t.version++
 	t.news.add(m.GetNode(), t.spreadTimes())
 	return true
 }
@@ -359,7 +367,7 @@
 	}
 	t.self.Busy = requests
 	t.self.Rumor++
-	t.news.add(t.self.GetNode(), t.spreadTimes())
+	t.news.addAtLeast(t.self.GetNode(), t.busyTimes())
 }
 
 // takeOfSelf answers bad news of this process, outlives an earlier process in this place, and notes a
