--- a/limit/table_test.go
+++ b/limit/table_test.go
@@ -120,11 +120,30 @@
 	c.Advance(100)
 	_, q = table.Take("w", r)
 	c.Advance(500)
-	table.Borrowed("w", "n1", 5, q.Seq) // whoever lent it has long been someone else's carrier
+	table.Borrowed("w", "n1", 5, q.Seq) // too late
 	ok, _ = table.Again("w", r)
 	is.True(!ok)
 }
 
+// TestLateLoanIsLost has a node that has a part of its own run out, and hear of a loan a second after it asked.
+func TestLateLoanIsLost(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(50_000)
+	table := lone(c)
+	r := limit.Rate{PerSecond: 0.01, Burst: 0}
+	var q *limit.Question
+	for ok := true; ok; {
+		var next *limit.Question
+		if ok, next = table.Take("w", r); next != nil {
+			q = next
+		}
+	}
+	c.Advance(600)
+	table.Borrowed("w", "n1", 5, q.Seq)
+	ok, _ := table.Again("w", r)
+	is.True(!ok)
+}
+
 // TestReturnedRequestsCountAgain gives back what was taken for requests that did not run.
 func TestReturnedRequestsCountAgain(t *testing.T) {
 	is := is.New(t)
