--- a/cmd/tinladderctl/control.go
+++ b/cmd/tinladderctl/control.go
@@ -58,6 +58,8 @@
 		return reportLogs(c.out, args.Report)
 	case args.Report != nil:
 		return c.report(ctx, args.Report)
+	case args.Spaces != nil:
+		return workspaces(ctx, c.out, args.Spaces)
 	case args.Resolve != nil:
 		return c.resolve(ctx, args.Resolve)
 	case args.Leave != nil:
--- a/cmd/tinladderctl/main.go
+++ b/cmd/tinladderctl/main.go
@@ -72,19 +72,20 @@
 	Token string `arg:"--token,env:TINLADDER_TOKEN" help:"an operator's token"`
 	JSON  bool   `arg:"--json" help:"print JSON"`
 
-	Apply   *applyCmd   `arg:"subcommand:apply" help:"bring workspaces and services to the state of a file"`
-	Get     *nameCmd    `arg:"subcommand:get" help:"show a workspace or a service"`
-	List    *nameCmd    `arg:"subcommand:list" help:"list a workspace's services"`
-	Delete  *nameCmd    `arg:"subcommand:delete" help:"delete a service"`
-	History *historyCmd `arg:"subcommand:history" help:"show the audit trail of a workspace or a service"`
-	Drain   *drainCmd   `arg:"subcommand:drain" help:"send a target no new work"`
-	InForce *nameCmd    `arg:"subcommand:in-force" help:"show which version each node uses"`
-	Status  *emptyCmd   `arg:"subcommand:status" help:"show a node, its peers and its services' targets"`
-	Report  *reportCmd  `arg:"subcommand:report" help:"show what failed"`
-	Explain *explainCmd `arg:"subcommand:explain" help:"say from the nodes' logs what became of a request"`
-	Resolve *resolveCmd `arg:"subcommand:resolve" help:"settle a change whose fate is not known"`
-	Leave   *emptyCmd   `arg:"subcommand:leave" help:"make the node leave the fleet"`
-	NewTok  *tokenCmd   `arg:"subcommand:token" help:"make a token and show its hash"`
+	Apply   *applyCmd      `arg:"subcommand:apply" help:"bring workspaces and services to the state of a file"`
+	Get     *nameCmd       `arg:"subcommand:get" help:"show a workspace or a service"`
+	List    *nameCmd       `arg:"subcommand:list" help:"list a workspace's services"`
+	Delete  *nameCmd       `arg:"subcommand:delete" help:"delete a service"`
+	History *historyCmd    `arg:"subcommand:history" help:"show the audit trail of a workspace or a service"`
+	Drain   *drainCmd      `arg:"subcommand:drain" help:"send a target no new work"`
+	InForce *nameCmd       `arg:"subcommand:in-force" help:"show which version each node uses"`
+	Status  *emptyCmd      `arg:"subcommand:status" help:"show a node, its peers and its services' targets"`
+	Report  *reportCmd     `arg:"subcommand:report" help:"show what failed"`
+	Explain *explainCmd    `arg:"subcommand:explain" help:"say from the nodes' logs what became of a request"`
+	Spaces  *workspacesCmd `arg:"subcommand:workspaces" help:"show what workspaces with a limit made of it, from the nodes' metrics"`
+	Resolve *resolveCmd    `arg:"subcommand:resolve" help:"settle a change whose fate is not known"`
+	Leave   *emptyCmd      `arg:"subcommand:leave" help:"make the node leave the fleet"`
+	NewTok  *tokenCmd      `arg:"subcommand:token" help:"make a token and show its hash"`
 }
 
 // Description is shown by --help.
@@ -101,6 +102,7 @@
   tinladderctl report tuul --since 12h
   tinladderctl report --logs node1.log node2.log
   tinladderctl report --every 2s --logs node1.log node2.log
+  tinladderctl workspaces 10.0.1.4:7200 10.0.2.4:7200
   tinladderctl explain 9c41d07be2a35f68 node1.log node2.log
 
 Exit codes: 0 done, 1 error, 2 wrong usage, 3 another operator was faster,
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -39,6 +39,10 @@
 	// status is 0 if no whole answer came; body and mark are of one that did.
 	status     int
 	body, mark string
+	// space is the workspace that asks, and key what it shows.
+	space, key string
+	// stray says that it need not be served: its key may be gone, or its workspace over its limit.
+	stray bool
 	// written says that the request went out whole, and unread that its connection ended before any
 	// byte of an answer.
 	written, unread bool
@@ -67,6 +71,9 @@
 	for _, p := range c.world.nodes {
 		c.wg.Go(func() { c.probe(ctx, p) })
 	}
+	c.wg.Go(func() { c.rotating(ctx) })
+	c.wg.Go(func() { c.steal(ctx) })
+	c.wg.Go(func() { c.flooding(ctx) })
 }
 
 func (c *callers) stop() {
@@ -84,7 +91,7 @@
 			conn.close()
 			conn = dial(c.world.someNode(r))
 		}
-		s := &sent{id: fmt.Sprintf("w%d-%d", worker, i), path: "/get/", once: r.IntN(2) == 0}
+		s := &sent{id: fmt.Sprintf("w%d-%d", worker, i), path: "/get/", once: r.IntN(2) == 0, space: shops, key: c.world.key()}
 		if s.once {
 			s.path = "/once/"
 		}
@@ -148,8 +155,13 @@
 	s.node, s.life, s.at = c.node, c.life, time.Now()
 	defer func() { s.end = time.Now() }()
 	_ = c.net.SetDeadline(s.at.Add(answerBound))
-	text := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: 4\r\n\r\nbody",
-		s.path, host, platform.Headers().RequestID, s.id, platform.Headers().Deadline, (2 * routeTimeout).Milliseconds())
+	h := platform.Headers()
+	text := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: somebody\r\nContent-Length: 4\r\n",
+		s.path, host, h.RequestID, s.id, h.Deadline, (2 * routeTimeout).Milliseconds(), h.Workspace)
+	if s.key != "" {
+		text += fmt.Sprintf("%s: Bearer %s\r\n", h.Key, s.key)
+	}
+	text += "\r\nbody"
 	if _, err := io.WriteString(c.net, text); err != nil {
 		return false
 	}
--- /dev/null
+++ b/soak/keys.go
@@ -0,0 +1,200 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tinladder/tinladder/platform"
+	"github.com/tinladder/tinladder/platform/standin"
+)
+
+// Two workspaces ask: one whose key is replaced again and again, while somebody goes on to show those that were taken
+// away, and one that asks far more than its limit allows.
+const (
+	shops, flood = "shops", "flood"
+	floodKey     = "key-of-the-flood"
+	// rotateEvery is how often the shops' key is replaced, and overlap for how long both keys hold.
+	rotateEvery = 2500 * time.Millisecond
+	overlap     = 900 * time.Millisecond
+	// revoke is how soon a key that was taken away runs nowhere.
+	revoke = 3 * time.Second
+	// stealEvery and floodEvery are the pauses of those who show old keys, and of the flood.
+	stealEvery = 60 * time.Millisecond
+	floodEvery = 12 * time.Millisecond
+	// The flood's limit, and what the fleet may make of it in a window.
+	floodRate, floodBurst = 15, 10
+	limitWindow           = 5 * time.Second
+	limitOvershoot        = 0.1
+	limitSlack            = 20
+)
+
+// keyring is the shops' keys: those that hold, the newest last, when the store took each, and when each was taken away.
+type keyring struct {
+	hold        []string
+	taken, gone map[string]time.Time
+	made        int
+}
+
+func newKeyring() keyring {
+	return keyring{
+		hold: []string{keyNamed(1)}, made: 1, gone: map[string]time.Time{},
+		taken: map[string]time.Time{keyNamed(1): time.Now(), floodKey: time.Now()},
+	}
+}
+
+// key returns the key that callers use: the old one for as long as both hold, until all nodes know the next.
+func (w *world) key() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.keys.hold[0]
+}
+
+// stolen returns one of the keys that were taken away of late, or the one that holds.
+func (w *world) stolen(r *rand.Rand) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := min(r.IntN(3), w.keys.made-1)
+	return keyNamed(w.keys.made - n)
+}
+
+func keyNamed(n int) string {
+	return fmt.Sprintf("key-of-the-shops-%d", n)
+}
+
+// workspaces are those of the next desired state.
+func (w *world) workspaces() []standin.WorkspaceRow {
+	return []standin.WorkspaceRow{
+		{Name: shops, Keys: slices.Clone(w.keys.hold), Rank: 1},
+		{Name: flood, Keys: []string{floodKey}, Rank: 2, PerSecond: floodRate, Burst: floodBurst},
+	}
+}
+
+// rotate replaces the shops' key.
+func (w *world) rotate() {
+	w.mu.Lock()
+	w.keys.made++
+	next := keyNamed(w.keys.made)
+	old := w.keys.hold
+	w.keys.hold = append(slices.Clone(old), next)
+	w.mu.Unlock()
+	w.configure()
+	w.mu.Lock()
+	w.keys.taken[next] = time.Now()
+	w.mu.Unlock()
+	time.Sleep(overlap)
+	w.mu.Lock()
+	w.keys.hold = []string{next}
+	w.mu.Unlock()
+	w.configure()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range old {
+		w.keys.gone[k] = time.Now()
+	}
+}
+
+// rotating replaces the key now and then.
+func (c *callers) rotating(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(rotateEvery)
+		c.world.rotate()
+	}
+}
+
+// steal shows keys that were taken away.
+func (c *callers) steal(ctx context.Context) {
+	r := rand.New(rand.NewPCG(c.world.cfg.Seed, 200))
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(stealEvery)
+		c.once(&sent{id: fmt.Sprintf("s-%d", i), path: "/get/", space: shops, key: c.world.stolen(r), stray: true}, r)
+	}
+}
+
+// flooding asks far more than its limit allows.
+func (c *callers) flooding(ctx context.Context) {
+	r := rand.New(rand.NewPCG(c.world.cfg.Seed, 201))
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(floodEvery)
+		c.once(&sent{id: fmt.Sprintf("f-%d", i), path: "/get/", space: flood, key: floodKey, stray: true}, r)
+	}
+}
+
+// once sends one request on a connection of its own.
+func (c *callers) once(s *sent, r *rand.Rand) {
+	conn := dial(c.world.someNode(r))
+	if conn == nil {
+		return
+	}
+	defer conn.close()
+	conn.send(s)
+	c.oracle.add(s)
+}
+
+// checkKeys: no key reaches a target, each request runs in its workspace's name, no key works once it is gone, and one
+// that holds is known in time.
+func (o *oracle) checkKeys() {
+	byID := map[string]*sent{}
+	for _, s := range o.sent {
+		byID[s.id] = s
+		o.checkDenied(s)
+	}
+	for _, t := range o.world.all() {
+		for _, x := range t.Seen() {
+			s := byID[x.ID]
+			if s == nil {
+				continue // it asks a public route
+			}
+			for name, values := range x.Header {
+				if strings.Contains(strings.Join(values, " "), "key-of-the-") {
+					o.breach("key", "%s: target %s got the key, in %s", s, t.ID, name)
+				}
+			}
+			if got := x.Header[http.CanonicalHeaderKey(platform.Headers().Workspace)]; !slices.Equal(got, []string{s.space}) {
+				o.breach("workspace", "%s: target %s was told %q, and not %s", s, t.ID, got, s.space)
+			}
+			if gone, found := o.world.keys.gone[s.key]; found && x.Ran && s.at.Sub(gone) > revoke+machineSlack/2 {
+				o.breach("revoked", "%s ran %s after its key was taken away", s, s.at.Sub(gone))
+			}
+		}
+	}
+}
+
+// checkDenied: a key that holds is not called unknown by a node in touch.
+func (o *oracle) checkDenied(s *sent) {
+	if s.status != http.StatusUnauthorized || s.stray && s.space == shops {
+		return
+	}
+	since := s.at.Add(-configApply - machineSlack)
+	taken, known := o.world.keys.taken[s.key]
+	if _, gone := o.world.keys.gone[s.key]; !gone && known && taken.Before(since) && s.node.inTouch(since.Add(-contact), s.end) {
+		o.breach("denied", "%s", s)
+	}
+}
+
+// checkLimit: in no window do more of the flood's requests run than its limit allows, over all nodes.
+func (o *oracle) checkLimit() {
+	var times []time.Time
+	seen := map[string]bool{}
+	for _, x := range o.arrivals(services[0]) {
+		if x.Ran && strings.HasPrefix(x.ID, "f-") && !seen[x.ID] {
+			seen[x.ID] = true
+			times = append(times, x.At)
+		}
+	}
+	allowed := (floodRate*limitWindow.Seconds()+floodBurst)*(1+limitOvershoot) + limitSlack
+	from := 0
+	for i, at := range times {
+		for at.Sub(times[from]) >= limitWindow {
+			from++
+		}
+		if n := i - from + 1; float64(n) > allowed {
+			o.breach("limit", "%d requests of the flood ran within %s, %.0f are allowed", n, limitWindow, allowed)
+			return
+		}
+	}
+}
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -77,7 +77,7 @@
 		default:
 			r.Failed++
 		}
-		if s.at.After(o.calm) {
+		if s.at.After(o.calm) && !s.stray {
 			calm++
 			if ok {
 				back++
@@ -91,6 +91,8 @@
 	o.checkLeaving()
 	o.checkBudget()
 	o.checkStates()
+	o.checkKeys()
+	o.checkLimit()
 	r.Breaches = o.found
 	return r
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -157,6 +157,7 @@
 	targets []*backend
 	version uint64
 	acked   map[uint64]time.Time
+	keys    keyring
 }
 
 // A backend is a target behind a relay of its own.
@@ -167,7 +168,10 @@
 
 // newWorld starts the stand-ins and the nodes.
 func newWorld(cfg Config) (w *world, err error) {
-	w = &world{cfg: cfg, store: standin.New(clock.NewSystem(), history), acked: map[uint64]time.Time{}}
+	w = &world{
+		cfg: cfg, store: standin.New(clock.NewSystem(), history), acked: map[uint64]time.Time{},
+		keys: newKeyring(),
+	}
 	defer func() {
 		if err != nil {
 			w.close()
@@ -225,23 +229,29 @@
 func (w *world) configure() {
 	w.mu.Lock()
 	w.version++
-	v := w.version
+	v, list := w.version, w.workspaces()
 	w.mu.Unlock()
 	routes := []standin.RouteRow{
 		route("get", "/get/", standin.Repeatable, services[0]),
 		route("once", "/once/", standin.RunOnce, services[1]),
-		route("now", versionPath(v), standin.Repeatable, services[0]),
+		public(route("now", versionPath(v), standin.Repeatable, services[0])),
 	}
 	if v > 1 {
-		routes = append(routes, route("before", versionPath(v-1), standin.Repeatable, services[0]))
+		routes = append(routes, public(route("before", versionPath(v-1), standin.Repeatable, services[0])))
 	}
 	routes = append(routes, idleRoutes(int(v%grownMost)*growth)...)
-	w.store.Configure(v, services, routes...)
+	w.store.ConfigureKeyed(v, services, list, routes...)
 	w.mu.Lock()
 	w.acked[v] = time.Now()
 	w.mu.Unlock()
 }
 
+// public returns the route without need of a key.
+func public(r standin.RouteRow) standin.RouteRow {
+	r.Public = true
+	return r
+}
+
 // idleRoutes returns routes that no caller uses, the same at each call.
 func idleRoutes(count int) []standin.RouteRow {
 	draw := rand.New(rand.NewPCG(1, 1))
@@ -320,11 +330,12 @@
 address = %q
 [bounds]
 grace = "%dms"
+revoke = "%dms"
 [retries]
 slack = %d
 [capacity]
 link_mbps = %d
-`, p.name, i%halls, p.callers, p.ready, free[3], free[2], way.Addr(), grace.Milliseconds(), budgetSlack, linkBytes*bitsPerByte/1_000_000)
+`, p.name, i%halls, p.callers, p.ready, free[3], free[2], way.Addr(), grace.Milliseconds(), revoke.Milliseconds(), budgetSlack, linkBytes*bitsPerByte/1_000_000)
 	return os.WriteFile(p.settings+".part", []byte(text), 0o600)
 }
 
