--- a/node/admit.go
+++ b/node/admit.go
@@ -33,7 +33,7 @@
 	case access.Allowed:
 		return w, nil
 	case access.Unproven:
-		return nil, &Problem{Status: http.StatusServiceUnavailable, RetryAfter: spread(provePause), Detail: v.String()}
+		return nil, &Problem{Status: http.StatusServiceUnavailable, RetryAfter: jitter(provePause), Detail: v.String()}
 	case access.Unusable:
 		return nil, &Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyPause, Detail: v.String()}
 	}
@@ -48,18 +48,18 @@
 		return nil
 	case !reached:
 		return &Problem{
-			Status: http.StatusServiceUnavailable, RetryAfter: spread(provePause),
+			Status: http.StatusServiceUnavailable, RetryAfter: jitter(provePause),
 			Detail: "this node hears too few others to know what the workspace may ask",
 		}
 	}
 	return &Problem{
-		Status: http.StatusTooManyRequests, RetryAfter: spread(min(max(wait, limitPauseLeast), limitPauseMost)),
+		Status: http.StatusTooManyRequests, RetryAfter: jitter(min(max(wait, limitPauseLeast), limitPauseMost)),
 		Detail: "the workspace has reached its limit",
 	}
 }
 
-// spread adds up to half to a pause, by chance, so that callers do not come back at once.
-func spread(pause clock.Millis) clock.Millis {
+// jitter adds up to half to a pause, by chance, so that callers do not come back at once.
+func jitter(pause clock.Millis) clock.Millis {
 	return pause + rand.N(pause/2+1)
 }
 
