--- a/node/quotas.go
+++ b/node/quotas.go
@@ -27,13 +27,13 @@
 	// limitYoung is for how long a process that has started takes others for unknown to it, and aloneFor for how long
 	// one that should meet others and has not takes itself for cut off.
 	limitYoung = 2 * clock.Second
+	aloneFor   = 1 * clock.Minute
 	// settledFor is for how long no other node must have become known for all to be.
 	settledFor clock.Millis = 350
 	// freshWithin is how far apart processes may have started, by their VMs' clocks, to have started at once; freshOld
 	// is the share of others that may be older.
 	freshWithin = 3 * clock.Second
 	freshOld    = 0.05
-	aloneFor    = 1 * clock.Minute
 )
 
 // quotas holds workspaces to their limits over the fleet: it moves what nodes lend each other.
--- a/node/reload.go
+++ b/node/reload.go
@@ -68,9 +68,9 @@
 	if reflect.DeepEqual(next, old) {
 		return
 	}
-	if next.Node != old.Node || next.Store != old.Store || !slices.Equal(next.Fleet.Keys, old.Fleet.Keys) {
+	if next.Node != old.Node || next.Store != old.Store || next.Workspaces != old.Workspaces || !slices.Equal(next.Fleet.Keys, old.Fleet.Keys) {
 		n.log.WithFields(logrus.Fields{"event": "settings_need_restart"}).Warn()
-		next.Node, next.Store, next.Fleet.Keys = old.Node, old.Store, old.Fleet.Keys
+		next.Node, next.Store, next.Workspaces, next.Fleet.Keys = old.Node, old.Store, old.Workspaces, old.Fleet.Keys
 	}
 	n.config.Store(next)
 	if !slices.Equal(next.Fleet.Seeds, old.Fleet.Seeds) {
