--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/tinladder/tinladder/clock"
@@ -121,7 +123,8 @@
 			if f.clock.Now()%100 == 0 {
 				n.table.Tick(f.view(n))
 			}
-			for w, r := range rates {
+			for _, w := range slices.Sorted(maps.Keys(rates)) {
+				r := rates[w]
 				expected := ask(w, n) * step / 1000
 				for expected > 0 && f.rand.Float64() < expected {
 					f.request(n, w, r)
