--- a/soak/callers.go
+++ b/soak/callers.go
@@ -73,7 +73,9 @@
 	}
 	c.wg.Go(func() { c.rotating(ctx) })
 	c.wg.Go(func() { c.steal(ctx) })
-	c.wg.Go(func() { c.flooding(ctx) })
+	for i := range flooders {
+		c.wg.Go(func() { c.flooding(ctx, i) })
+	}
 }
 
 func (c *callers) stop() {
--- a/soak/keys.go
+++ b/soak/keys.go
@@ -23,11 +23,13 @@
 	overlap     = 900 * time.Millisecond
 	// revoke is how soon a key that was taken away runs nowhere.
 	revoke = 3 * time.Second
-	// stealEvery and floodEvery are the pauses of those who show old keys, and of the flood.
+	// stealEvery and floodEvery are the pauses of those who show old keys, and of each of the flooders, who wait for
+	// their answers in between.
 	stealEvery = 60 * time.Millisecond
-	floodEvery = 12 * time.Millisecond
+	floodEvery = 20 * time.Millisecond
+	flooders   = 4
 	// The flood's limit, and what the fleet may make of it in a window.
-	floodRate, floodBurst = 15, 10
+	floodRate, floodBurst = 8, 8
 	limitWindow           = 5 * time.Second
 	limitOvershoot        = 0.1
 	limitSlack            = 20
@@ -115,12 +117,12 @@
 	}
 }
 
-// flooding asks far more than its limit allows.
-func (c *callers) flooding(ctx context.Context) {
-	r := rand.New(rand.NewPCG(c.world.cfg.Seed, 201))
+// flooding asks, with the other flooders, far more than their limit allows.
+func (c *callers) flooding(ctx context.Context, flooder int) {
+	r := rand.New(rand.NewPCG(c.world.cfg.Seed, 201+uint64(flooder)))
 	for i := 0; ctx.Err() == nil; i++ {
 		time.Sleep(floodEvery)
-		c.once(&sent{id: fmt.Sprintf("f-%d", i), path: "/get/", space: flood, key: floodKey, stray: true}, r)
+		c.once(&sent{id: fmt.Sprintf("f-%d-%d", flooder, i), path: "/get/", space: flood, key: floodKey, stray: true}, r)
 	}
 }
 
