--- a/emulate/ports_test.go
+++ b/emulate/ports_test.go
@@ -10,13 +10,13 @@
 	defer b.close()
 	taken := map[string]bool{}
 	for range 30 {
-		for _, address := range a.take(20) {
+		for _, address := range a.take(100) {
 			if taken[address] {
 				t.Fatalf("%s is handed out twice", address)
 			}
 			taken[address] = true
 		}
-		for _, address := range b.take(20) {
+		for _, address := range b.take(100) {
 			if taken[address] {
 				t.Fatalf("%s is handed out twice", address)
 			}
