--- a/node/front.go
+++ b/node/front.go
@@ -11,6 +11,9 @@
 // notReadyPause is what callers are told when this node knows no desired state.
 const notReadyPause clock.Millis = 500
 
+// minLeavePause is what callers of a node that is about to end are told: another one takes them at once.
+const minLeavePause clock.Millis = 100
+
 // ownPaths is where the fleet's own interface is asked.
 const ownPaths = "/.tinladder/"
 
@@ -36,6 +39,10 @@
 		p.fractions = n.platform.Speech.Headers.Fractions
 		n.refuse(w, r, p)
 	}
+	if n.leaving.late() {
+		refuse(Problem{Status: http.StatusServiceUnavailable, RetryAfter: minLeavePause, Detail: "this node is about to end; ask another one"})
+		return
+	}
 	t := n.records.await(r)
 	if t == nil {
 		refuse(Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyPause, Detail: n.records.missing()})
--- a/node/leave.go
+++ b/node/leave.go
@@ -17,7 +17,10 @@
 	// connections, and endShare that by which it has ended.
 	acceptShare = 45
 	endShare    = 97
-	hundredths  = 100
+	// takeShare is the share for which it takes requests of the users' platform on connections that callers keep. One
+	// that comes later could still be at work at the end, and would be cut; so it is refused, and has not run.
+	takeShare  = 48
+	hundredths = 100
 )
 
 // leaving takes the node out of the fleet without cutting a request: it says so, serves on those
@@ -28,6 +31,8 @@
 	asked chan struct{}
 	once  sync.Once
 	begun atomic.Bool
+	// since is when it began to leave.
+	since atomic.Int64
 	busy  atomic.Int64
 }
 
@@ -44,6 +49,12 @@
 	return l.begun.Load()
 }
 
+// late says whether a request comes so late that the node may end before it does.
+func (l *leaving) late() bool {
+	grace := l.node.settings().Bounds.Grace.Millis()
+	return l.started() && l.node.clock.Now()-clock.Millis(l.since.Load()) > grace*takeShare/hundredths
+}
+
 // enter and exit count the requests in flight.
 func (l *leaving) enter() { l.busy.Add(1) }
 func (l *leaving) exit()  { l.busy.Add(-1) }
@@ -61,6 +72,7 @@
 	n := l.node
 	grace := n.settings().Bounds.Grace.Millis()
 	n.log.WithFields(logrus.Fields{"event": "leaving", "node": n.self.Node, "grace_ms": grace, "in_flight": l.busy.Load()}).Warn()
+	l.since.Store(int64(n.clock.Now()))
 	l.begun.Store(true)
 	n.sendGossip(n.members.Leave())
 	n.duty.confirm()
