Sight: attempts that lose their connection say what the request is known by, and whether the target's process is gone

No decision goes by either yet. The first 4 KB of a body that is streamed are read before it is sent on, so that large requests have prints too.

--- /dev/null
+++ b/forward/look.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// lookTimeout bounds a look: one way between halls and back, with room, and little for a caller who waits.
+	lookTimeout = 50 * time.Millisecond
+	// looks and lookPause are how often a look is repeated where something still listens: a process that ends may
+	// lose its connections a little before its door.
+	looks     = 2
+	lookPause = 15 * time.Millisecond
+)
+
+// A Door is what a look at an address found.
+type Door int
+
+// Doors.
+const (
+	// Open doors take a connection: the process that a connection broke off from lives, or another one is there already.
+	Open Door = iota
+	// Shut doors are refused by a machine that answers: no process listens there any more.
+	Shut
+	// Unseen doors do not answer in time, or cannot be reached.
+	Unseen
+)
+
+// String returns the door's name.
+func (d Door) String() string {
+	return [...]string{"open", "shut", "unseen"}[d]
+}
+
+// Look says whether anything listens at the address, by a connection of its own. What breaks a single connection, such as
+// a cut link or a target that closes those at rest, leaves the door open or unseen; the end of the process shuts it.
+func (p *Conns) Look(ctx context.Context, address string) (d Door) {
+	for i := range looks {
+		if i > 0 {
+			time.Sleep(lookPause)
+		}
+		if d = p.look(ctx, address); d != Open {
+			return d
+		}
+	}
+	return d
+}
+
+func (p *Conns) look(ctx context.Context, address string) Door {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	switch {
+	case err == nil:
+		_ = c.Close()
+		return Open
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		return Shut
+	}
+	return Unseen
+}
--- /dev/null
+++ b/forward/look_test.go
@@ -0,0 +1,32 @@
+package forward_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/forward"
+)
+
+// TestLook looks at a door that is open, and at it again as its process ends: shortly after the connections are lost.
+func TestLook(t *testing.T) {
+	is := is.New(t)
+	conns := forward.NewConns(clock.NewSystem(), 200)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.Equal(conns.Look(context.Background(), address), forward.Open)
+	time.AfterFunc(5*time.Millisecond, func() { _ = l.Close() })
+	is.Equal(conns.Look(context.Background(), address), forward.Shut)
+}
+
+// TestLookThatIsGivenUp ends a look before it has found anything.
+func TestLookThatIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.Equal(forward.NewConns(clock.NewSystem(), 200).Look(ctx, "127.0.0.1:1"), forward.Unseen)
+}
--- a/node/account.go
+++ b/node/account.go
@@ -54,6 +54,9 @@
 	if e.err != nil {
 		f["error"] = e.err
 	}
+	if e.outcome == pool.Silent {
+		f["door"], f["print"] = e.door, x.printed()
+	}
 	if l.Next != "" {
 		f["next"], f["next_failing"] = l.Next, fmt.Sprintf("%.2f", l.NextFailing)
 	}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -56,7 +56,12 @@
 	deadline clock.Millis
 	body     []byte
 	stream   io.Reader
-	tried    []ident.Target
+	// head is the first part of a body that is streamed.
+	head []byte
+	// space is the workspace, and on the fleet's own interface the service, that the request names by its key or token.
+	space string
+	print printOnce
+	tried []ident.Target
 	// why says why the last of them was chosen.
 	why pool.Reason
 	// ran counts the attempts that a target may have run.
@@ -183,6 +188,9 @@
 		err = errors.Mark(errBeaten, forward.ErrSent)
 	}
 	e := end{lease: t.lease, answer: a, err: err, outcome: x.outcome(ctx, a, err, t.lease, took)}
+	if e.outcome == pool.Silent {
+		e.door = x.node.conns.Look(ctx, t.lease.Address)
+	}
 	t.lease.Done(e.outcome, a != nil && x.leaves(a))
 	if e.outcome == pool.Late || e.outcome == pool.Silent {
 		// The target's other connections may be silent too: one request is lost by them, not one by each.
--- a/node/front.go
+++ b/node/front.go
@@ -29,6 +29,7 @@
 	n.leaving.enter()
 	defer n.leaving.exit()
 	r.Header.Del(HeaderPassed)
+	r.Header.Del(HeaderCaller)
 	if no := reading.Target(r); no != nil {
 		if no.Close {
 			w.Header().Set("Connection", "close")
@@ -92,7 +93,7 @@
 		problem.workspace, problem.limit = space.Name, space.Rate.PerSecond
 		return nil, problem
 	}
-	x.workspace = space
+	x.workspace, x.space = space, string(space.Name)
 	return x, nil
 }
 
--- a/node/outgoing.go
+++ b/node/outgoing.go
@@ -23,6 +23,8 @@
 const (
 	// smallBody is the largest body of a request that is kept, so that it can be sent again.
 	smallBody = 64 << 10
+	// printedBody is how much of a larger body a request is known by.
+	printedBody = 4 << 10
 	// sendMargin is how much sooner than a caller's time is over a target is told to end.
 	sendMargin clock.Millis = 5
 	// callerGrace is how much longer than a request's deadline a caller may take to send it or to
@@ -49,27 +51,27 @@
 		return nil
 	}
 	body := reading.Body(x.r)
+	most := smallBody + 1
 	if x.r.ContentLength > smallBody {
-		x.stream = body
-		return nil
+		most = printedBody
 	}
-	x.body, err = x.readSmall(body)
-	if err == nil && len(x.body) > smallBody {
+	x.body, err = x.readSome(body, most)
+	if err == nil && (len(x.body) > smallBody || x.r.ContentLength > smallBody) {
 		x.stream = io.MultiReader(bytes.NewReader(x.body), body)
-		x.body = nil
+		x.head, x.body = x.body[:min(len(x.body), printedBody)], nil
 	}
 	return err
 }
 
-// readSmall reads a body, or more of it than is kept. What is still on its way as the node ends is not waited for: its caller
-// is to be answered.
-func (x *exchange) readSmall(body io.Reader) ([]byte, error) {
+// readSome reads a body, or so much of it. What is still on its way as the node ends is not waited for: its caller is to be
+// answered.
+func (x *exchange) readSome(body io.Reader, most int) ([]byte, error) {
 	cut := make(chan struct{})
 	stop := context.AfterFunc(x.node.leaving.ending, func() {
 		defer close(cut)
 		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
 	})
-	b, err := io.ReadAll(io.LimitReader(body, smallBody+1))
+	b, err := io.ReadAll(io.LimitReader(body, int64(most)))
 	if !stop() {
 		<-cut
 	}
--- a/node/own.go
+++ b/node/own.go
@@ -108,6 +108,7 @@
 func (n *Node) runOwn(w http.ResponseWriter, r *http.Request, route *ownRoute, passed string) {
 	r.Body = http.MaxBytesReader(nil, r.Body, n.settings().Limits.BodyBytes)
 	x := newExchange(n, w, r, route.Route, ownHeaders)
+	x.space = route.service.String()
 	if p := x.late(blank(r)); p != nil {
 		n.refuse(w, r, *p)
 		return
--- a/node/race.go
+++ b/node/race.go
@@ -27,6 +27,8 @@
 	answer  *forward.Answer
 	err     error
 	outcome pool.Outcome
+	// door is what was found at the target's address after a connection was lost.
+	door forward.Door
 }
 
 // A try is one attempt before it is made.
--- a/node/speech.go
+++ b/node/speech.go
@@ -48,6 +48,8 @@
 	HeaderNotRun = "Tinladder-Not-Run"
 	// HeaderPassed is on requests between nodes only.
 	HeaderPassed = "Tinladder-Passed"
+	// HeaderCaller says on requests between nodes whom the first of them has it from.
+	HeaderCaller = "Tinladder-Caller"
 	// HeaderPeerKey proves that a request comes from a node.
 	HeaderPeerKey = "Tinladder-Peer-Key"
 	// HeaderRequestID names a request in logs.
@@ -65,6 +67,6 @@
 
 // nodesOnly are headers that only nodes set, or read.
 var nodesOnly = []string{
-	HeaderToken, HeaderPassed, HeaderPeerKey, HeaderService, HeaderDeadline, HeaderKey,
+	HeaderToken, HeaderPassed, HeaderCaller, HeaderPeerKey, HeaderService, HeaderDeadline, HeaderKey,
 	"Forwarded", "X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto",
 }
