A request that crashes targets is known also whoever sends it, and whatever query it comes with

Cause: prints told callers apart by their address, and the like request came from another one each time. Now a request has three prints, by caller, by request and by path without the query, each judged by itself: what one caller's alone does is told from what anybody's does. So that a popular path is not blamed where many of its targets end at once, crashes count in a row only where the target had the request after the one before had crashed; three at once are tried at once, by one of the fleet, and what was lost with a target is still tried elsewhere.

--- a/node/account.go
+++ b/node/account.go
@@ -10,6 +10,7 @@
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/forward"
 	"github.com/tinladder/tinladder/pool"
+	"github.com/tinladder/tinladder/quarantine"
 )
 
 // A cause names why a request was not served, in logs and metrics.
@@ -55,7 +56,7 @@
 		f["error"] = e.err
 	}
 	if e.outcome == pool.Silent {
-		f["door"], f["print"] = e.door, x.printed()
+		f["door"], f["print"] = e.door, x.printed()[quarantine.ByRequest]
 	}
 	if l.Next != "" {
 		f["next"], f["next_failing"] = l.Next, fmt.Sprintf("%.2f", l.NextFailing)
--- a/node/lift.go
+++ b/node/lift.go
@@ -5,7 +5,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/quarantine"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
@@ -27,7 +26,7 @@
 		}
 		_, since, _ := s.node.suspects.list.Known(c.Print)
 		q := &tlv1.Quarantined{
-			Print: c.Print.String(), Service: c.Service, What: c.What, Held: c.Held(), Trials: uint32(c.Trials),
+			Print: c.Print.String(), Service: c.Service, What: c.What, Held: c.Held(), Trials: uint32(c.Trials), KnownBy: c.Breadth.String(),
 			AgeMs: int64(now - since), TrialMs: int64(s.node.suspects.list.Decide(c.Print).RetryAfter),
 		}
 		for _, x := range c.Crashes {
@@ -38,7 +37,8 @@
 	return connect.NewResponse(res), nil
 }
 
-// Lift has a request be sent again like any other.
+// Lift has a request be sent again like any other, whatever it is known by. What could not be stored is written as soon as
+// the store answers.
 func (s *operatorServer) Lift(ctx context.Context, req *connect.Request[tlv1.LiftRequest]) (*connect.Response[tlv1.LiftResponse], error) {
 	op, err := s.operator(ctx, req.Header())
 	if err != nil {
@@ -53,12 +53,15 @@
 	if !found || !op.may(workspaceIn(c.Service)) {
 		return nil, connect.NewError(connect.CodeNotFound, errNotHeld)
 	}
-	n.suspects.clear(p, op.name)
 	ctx, cancel := context.WithTimeout(ctx, lookTimeout.Duration())
 	defer cancel()
-	err = n.suspects.save(ctx, p, 0)
-	if err != nil {
-		n.log.WithFields(logrus.Fields{"event": "suspect_not_stored", "print": p, "error": err}).Warn()
+	stored := true
+	for _, like := range n.suspects.list.All() {
+		if like.What == c.What && like.Service == c.Service { // what it is known by besides
+			n.suspects.clear(like.Print, op.name)
+			err := n.suspects.save(ctx, like.Print, 0)
+			stored = stored && err == nil
+		}
 	}
-	return connect.NewResponse(&tlv1.LiftResponse{Stored: err == nil}), nil
+	return connect.NewResponse(&tlv1.LiftResponse{Stored: stored}), nil
 }
--- a/node/print.go
+++ b/node/print.go
@@ -8,25 +8,25 @@
 	"github.com/tinladder/tinladder/quarantine"
 )
 
-// A printOnce is a request's print, made when it is first asked for: attempts that run beside each other may ask.
-type printOnce struct {
-	once  sync.Once
-	print quarantine.Print
+// printsOnce are a request's prints, made when they are first asked for: attempts that run beside each other may ask.
+type printsOnce struct {
+	once   sync.Once
+	prints quarantine.Prints
 }
 
-// printed returns the request's print. Its body must have been read.
-func (x *exchange) printed() quarantine.Print {
-	x.print.once.Do(func() {
+// printed returns the request's prints. Its body must have been read.
+func (x *exchange) printed() *quarantine.Prints {
+	x.prints.once.Do(func() {
 		body := x.body
 		if x.stream != nil {
 			body = x.head
 		}
-		x.print.print = quarantine.PrintOf(&quarantine.Request{
+		x.prints.prints = quarantine.PrintsOf(&quarantine.Request{
 			Caller: callerOf(x.r), Workspace: x.space, Method: x.r.Method, Target: x.r.RequestURI, Body: body, Length: x.r.ContentLength,
 			Host: x.route.Host, // not as it was sent: where the host is a node's own, the next node has another one
 		})
 	})
-	return x.print.print
+	return &x.prints.prints
 }
 
 // callerOf returns the address of whoever sent the request to the fleet.
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -52,14 +52,24 @@
 // judge says how the request is to be treated, or returns the problem with it. A request that is held back is let through
 // when a trial is due, by one node of the fleet.
 func (s *suspects) judge(ctx context.Context, x *exchange) (quarantine.Verdict, *Problem) {
+	v, p := s.decide(x)
+	if !v.Held || v.Due && s.claimAll(ctx, x) {
+		return v, nil
+	}
+	return v, s.problem(p)
+}
+
+// decide says how the request is to be treated: by the print with the most against it, which it returns.
+func (s *suspects) decide(x *exchange) (worst quarantine.Verdict, by quarantine.Print) {
 	if s.list.Empty() {
-		return quarantine.Verdict{}, nil
+		return worst, by
 	}
-	v := s.list.Decide(x.printed())
-	if !v.Held || v.Due && s.claim(ctx, x.printed(), v.Trials+1) {
-		return v, nil
+	for _, p := range x.printed() {
+		if v := s.list.Decide(p); v.Worse(worst) {
+			worst, by = v, p
+		}
 	}
-	return v, s.problem(x.printed())
+	return worst, by
 }
 
 // problem says to the caller that the request is held back, and until when.
@@ -71,20 +81,22 @@
 	}
 }
 
-// crashed takes in that the target's process ended while it ran the request.
-func (s *suspects) crashed(x *exchange, target ident.Target) {
-	c := quarantine.Case{
-		Print: x.printed(), Service: x.service.name, What: whatOf(x.r),
-		Crashes: []quarantine.Crash{{Target: target, At: s.node.clock.Now()}},
-	}
-	change := s.list.Crashed(c)
-	if change == quarantine.Nothing {
-		return
-	}
-	c = s.tell(change, c.Print, "seen")
-	s.broadcast(quarantine.ToWire(c, s.node.clock.Now()))
-	if len(c.Crashes) >= quarantine.Alone || len(s.node.members.Live()) == 0 {
-		s.want(c.Print)
+// crashed takes in that the target's process ended while it ran the request, which was sent to it at the time.
+func (s *suspects) crashed(x *exchange, target ident.Target, from clock.Millis) {
+	for b, p := range x.printed() {
+		c := quarantine.Case{
+			Print: p, Breadth: quarantine.Breadth(b), Service: x.service.name, What: whatOf(x.r),
+			Crashes: []quarantine.Crash{{Target: target, From: from, At: s.node.clock.Now()}},
+		}
+		change := s.list.Crashed(c)
+		if change == quarantine.Nothing {
+			continue
+		}
+		c = s.tell(change, p, "seen")
+		s.broadcast(quarantine.ToWire(c, s.node.clock.Now()))
+		if len(c.Crashes) >= quarantine.Alone || len(s.node.members.Live()) == 0 {
+			s.want(p)
+		}
 	}
 }
 
@@ -96,15 +108,18 @@
 
 // good takes in that a target has answered the request well.
 func (s *suspects) good(x *exchange) {
-	if !s.list.Empty() {
-		s.clear(x.printed(), "answer")
+	if s.list.Empty() {
+		return
+	}
+	for _, p := range x.printed() {
+		s.clear(p, "answer")
 	}
 }
 
 // clear lifts what is held against the request, here and at the other nodes. It says whether there was anything.
 func (s *suspects) clear(p quarantine.Print, by string) bool {
-	was, any := s.list.Clear(p)
-	if !any {
+	was, found := s.list.Clear(p)
+	if !found {
 		return false
 	}
 	s.tellLifted(was, by)
@@ -137,7 +152,7 @@
 		return
 	}
 	if m.GetCleared() {
-		if was, any := s.list.Clear(c.Print); any {
+		if was, found := s.list.Clear(c.Print); found {
 			s.tellLifted(was, "peer")
 		}
 		return
@@ -167,7 +182,17 @@
 	}
 }
 
-// claim says whether the request may be tried here and now. Of all nodes one may, which the store decides; while that is
+// claimAll says whether the request may be tried here and now, by each of its prints that is held back.
+func (s *suspects) claimAll(ctx context.Context, x *exchange) bool {
+	for _, p := range x.printed() {
+		if v := s.list.Decide(p); v.Held && !s.claim(ctx, p, v.Trials+1) {
+			return false
+		}
+	}
+	return true
+}
+
+// claim says whether a request of the print may be tried here and now. Of all nodes one may, which the store decides; while that is
 // away, the one that is first for it among those that this node hears.
 func (s *suspects) claim(ctx context.Context, p quarantine.Print, trials int) bool {
 	if !s.list.Tried(p, trials) {
@@ -268,7 +293,7 @@
 	c, _, _ := s.list.Known(p)
 	s.node.metrics.crashed(change)
 	s.node.log.WithFields(logrus.Fields{
-		"event": "request_" + change.String(), "print": p, "service": c.Service, "what": c.What, "crashes": len(c.Crashes),
+		"event": "request_" + change.String(), "print": p, "known_by": c.Breadth, "service": c.Service, "what": c.What, "crashes": len(c.Crashes),
 		"targets": targetsOf(c), "trials": c.Trials, "by": by,
 	}).Warn()
 	if change == quarantine.Held && by == "seen" {
@@ -279,7 +304,7 @@
 
 func (s *suspects) tellLifted(was quarantine.Case, by string) {
 	s.node.log.WithFields(logrus.Fields{
-		"event": "request_lifted", "print": was.Print, "service": was.Service, "what": was.What, "crashes": len(was.Crashes),
+		"event": "request_lifted", "print": was.Print, "known_by": was.Breadth, "service": was.Service, "what": was.What, "crashes": len(was.Crashes),
 		"held": was.Held(), "trials": was.Trials, "by": by,
 	}).Warn()
 }
@@ -315,22 +340,22 @@
 func (x *exchange) lost(ctx context.Context, l *pool.Lease) forward.Door {
 	door := x.node.conns.Look(ctx, l.Address)
 	if door == forward.Shut && !l.Leaving() {
-		x.node.suspects.crashed(x, l.Target)
+		x.node.suspects.crashed(x, l.Target, l.From())
 	}
 	return door
 }
 
 // sole says whether the request may go to one target only.
 func (x *exchange) sole() bool {
-	s := x.node.suspects
-	return !s.list.Empty() && s.list.Decide(x.printed()).Sole()
+	v, _ := x.node.suspects.decide(x)
+	return v.Sole()
 }
 
 // heldMeanwhile refuses a request that is held back since it began, while it waited or by an attempt of its own. One that
-// was let through for a trial goes on.
+// was let through for a trial goes on, and one that was lost with targets that may have ended of something else.
 func (x *exchange) heldMeanwhile(l *pool.Lease, t ticket) bool {
-	s := x.node.suspects
-	if s.list.Empty() || x.verdict.Held || !s.list.Decide(x.printed()).Held {
+	v, p := x.node.suspects.decide(x)
+	if x.verdict.Held || !v.Held || x.ran > 0 && !v.Sole() {
 		return false
 	}
 	l.Done(pool.Abandoned, false)
@@ -338,7 +363,7 @@
 		x.noAnswer(errHeldBack, t)
 		return true
 	}
-	x.refuseHeld(s.problem(x.printed()), t)
+	x.refuseHeld(x.node.suspects.problem(p), t)
 	return true
 }
 
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -59,6 +59,11 @@
 	return clock.Millis(p.serviceTime)
 }
 
+// From is when the lease began.
+func (l *Lease) From() clock.Millis {
+	return l.from
+}
+
 // Leaving says whether the target is known to leave, or to be gone: its process may end at any moment.
 func (l *Lease) Leaving() bool {
 	l.pool.mu.Lock()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -14,7 +14,7 @@
 const (
 	// Enough crashes, of as many targets, hold a request back. One or two may be chance.
 	Enough = 3
-	// Alone is from how many crashes on a request goes to one target only, without a second attempt: of those that were
+	// Alone is from how many crashes in a row on a request goes to one target only, without a second attempt: of those that were
 	// aboard by chance as one target crashed, nearly all are not aboard a second time.
 	Alone = 2
 	// forgetAfter is how long crashes are remembered that were not enough: a request that comes more seldom ends few
@@ -37,7 +37,8 @@
 // A Crash struct is one target that crashed while it ran the request.
 type Crash struct {
 	Target ident.Target
-	At     clock.Millis
+	// From is when the request was sent to it, and At when it crashed.
+	From, At clock.Millis
 	// Loose says that At is just when it was learned of, no earlier than it was.
 	Loose bool
 }
@@ -54,6 +55,8 @@
 // A Case struct is all that is known of one request under which targets crashed.
 type Case struct {
 	Print Print
+	// Breadth is how much of the request the print tells apart.
+	Breadth Breadth
 	// Service and What name it for operators.
 	Service, What string
 	Crashes       []Crash
@@ -66,10 +69,33 @@
 	return len(c.Crashes) >= Enough
 }
 
+// inARow counts crashes of which each target had the request only after the one before had crashed. Many may send the
+// request, and many targets end at once of something else while they have it: such crashes are no more than one in a row.
+func (c *Case) inARow() (count int) {
+	var timed []Crash
+	for _, x := range c.Crashes {
+		if x.Loose {
+			count++
+			continue
+		}
+		timed = append(timed, x)
+	}
+	slices.SortFunc(timed, func(a, b Crash) int { return cmp.Compare(a.At, b.At) })
+	for i := 0; i < len(timed); {
+		last := timed[i].At
+		count++
+		for i++; i < len(timed) && timed[i].From < last; {
+			i++
+		}
+	}
+	return count
+}
+
 // A Verdict struct is how a request is to be treated.
 type Verdict struct {
-	// Crashes counts the targets that crashed under it. With none, it is like any other.
-	Crashes int
+	// Crashes counts the targets that crashed under it, and InARow those of them that crashed one after the other. With
+	// none, it is like any other.
+	Crashes, InARow int
 	// Held requests are not sent, unless a trial is Due.
 	Held, Due bool
 	// RetryAfter is when the next trial is due.
@@ -77,9 +103,17 @@
 	Trials     int
 }
 
+// Worse says whether there is more against a request by this verdict than by the other.
+func (v Verdict) Worse(than Verdict) bool {
+	if v.Held != than.Held {
+		return v.Held
+	}
+	return cmp.Or(cmp.Compare(v.RetryAfter, than.RetryAfter), cmp.Compare(v.Crashes, than.Crashes)) > 0
+}
+
 // Sole says whether the request goes to one target only.
 func (v Verdict) Sole() bool {
-	return v.Crashes >= Alone
+	return v.InARow >= Alone
 }
 
 // A Change says what word of a crash changed.
@@ -140,16 +174,21 @@
 	if e == nil {
 		return v
 	}
-	v = Verdict{Crashes: len(e.Crashes), Held: e.Held(), Trials: e.Trials}
+	v = Verdict{Crashes: len(e.Crashes), InARow: e.inARow(), Held: e.Held(), Trials: e.Trials}
 	if v.Held {
-		v.RetryAfter = max(e.since+trialWait(e.Trials)-l.clock.Now(), 0)
+		v.RetryAfter = max(e.since+v.wait()-l.clock.Now(), 0)
 		v.Due = v.RetryAfter == 0
 	}
 	return v
 }
 
-func trialWait(trials int) clock.Millis {
-	return trialWaits[min(trials, len(trialWaits)-1)]
+// wait is how long a request that is held back is not tried. Where its targets crashed at once, they may have for another
+// reason, and the first trial is due now.
+func (v Verdict) wait() clock.Millis {
+	if v.Trials == 0 && v.InARow < Enough {
+		return 0
+	}
+	return trialWaits[min(v.Trials, len(trialWaits)-1)]
 }
 
 // Crashed takes in that targets crashed while they ran the request, as seen here or told by another node.
@@ -201,7 +240,7 @@
 	e := l.entries[c.Print]
 	if e == nil {
 		l.makeRoom()
-		e = &entry{Case: Case{Print: c.Print}}
+		e = &entry{Case: Case{Print: c.Print, Breadth: c.Breadth}}
 		l.entries[c.Print] = e
 		l.size.Store(int32(len(l.entries)))
 	}
@@ -251,7 +290,7 @@
 
 // Clear takes in that nothing is held against the request any more: a target has answered it well, which one that crashes
 // its targets never sees, or an operator says so. It says whether anything was, and returns what was known.
-func (l *List) Clear(p Print) (was Case, any bool) {
+func (l *List) Clear(p Print) (was Case, found bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[p]
--- a/quarantine/rows.go
+++ b/quarantine/rows.go
@@ -150,11 +150,11 @@
 
 // ToWire returns the case as other nodes are told of it now, or with never as the store keeps it.
 func ToWire(c Case, now clock.Millis) *tlv1.Suspect {
-	s := &tlv1.Suspect{Print: c.Print[:], Service: c.Service, What: c.What, Trials: uint32(c.Trials)}
+	s := &tlv1.Suspect{Print: c.Print[:], Service: c.Service, What: c.What, Trials: uint32(c.Trials), Breadth: uint32(c.Breadth)}
 	for _, x := range c.Crashes {
 		crash := &tlv1.Crash{Target: string(x.Target), AgeMs: int64(never)}
 		if now != never && !x.Loose {
-			crash.AgeMs = int64(max(now-x.At, 0))
+			crash.AgeMs, crash.RanMs = int64(max(now-x.At, 0)), int64(x.At-x.From)
 		}
 		s.Crashes = append(s.Crashes, crash)
 	}
@@ -163,13 +163,14 @@
 
 // FromWire returns the case that was told, as of now. It fails if it names no request.
 func FromWire(s *tlv1.Suspect, now clock.Millis) (c Case, ok bool) {
-	if len(s.GetPrint()) != PrintBytes {
+	if len(s.GetPrint()) != PrintBytes || s.GetBreadth() >= uint32(breadths) {
 		return Case{}, false
 	}
-	c = Case{Print: Print(s.GetPrint()), Service: s.GetService(), What: s.GetWhat(), Trials: int(s.GetTrials())}
+	c = Case{Print: Print(s.GetPrint()), Service: s.GetService(), What: s.GetWhat(), Trials: int(s.GetTrials()), Breadth: Breadth(s.GetBreadth())}
 	for _, x := range s.GetCrashes() {
 		age := clock.Millis(x.GetAgeMs())
-		c.Crashes = append(c.Crashes, Crash{Target: ident.Target(x.GetTarget()), At: now - max(age, 0), Loose: age < 0})
+		at := now - max(age, 0)
+		c.Crashes = append(c.Crashes, Crash{Target: ident.Target(x.GetTarget()), From: at - clock.Millis(x.GetRanMs()), At: at, Loose: age < 0})
 	}
 	return c, true
 }
--- a/tinladder.go
+++ b/tinladder.go
@@ -67,8 +67,8 @@
 func On(address string, c clock.Clock) node.Platform {
 	client := platform.NewClient(address)
 	return node.Platform{
-		Source:  func(refused func(store.Refusal)) store.Source { return platform.NewSource(client, c, refused) },
-		Table:   platform.NewTable(client), Suspects: platform.NewSuspects(client),
+		Source: func(refused func(store.Refusal)) store.Source { return platform.NewSource(client, c, refused) },
+		Table:  platform.NewTable(client), Suspects: platform.NewSuspects(client),
 		Objects: platform.NewObjects(client),
 		Speech: node.Speech{
 			Headers:        platform.Headers(),
