A suspension of the machine counts as time that has passed

Callers' keys that were taken away while a node's machine was suspended still worked there at waking, until the next word of the store; parts of limits, leases and ages that are told to others were taken as fresh in the same way. Cause: the node's clock followed the steady clock alone, which stands still while the machine is suspended. Class: elapsed time measured by a clock that does not measure all of it. Steps of the time of day alone change nothing. 106 ns a look in place of 68 (BenchmarkNow). By construction the clock before shows 1,002,000 where 1,007,000 is asked; the tests came with the change, since the old clock had no seam to test. Left: timers and deadlines of connections run on by what the machine slept; what an answer of the store takes is measured by the steady clock.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -30,21 +30,6 @@
 	Now() Millis
 }
 
-// A system clock starts at the wall clock's time and follows the monotonic clock,
-// which goes on while the process is stopped.
-type system struct {
-	start time.Time
-}
-
-// NewSystem returns the machine's clock.
-func NewSystem() Clock {
-	return &system{start: time.Now()}
-}
-
-func (c *system) Now() Millis {
-	return Millis(c.start.UnixMilli()) + FromDuration(time.Since(c.start))
-}
-
 // A Manual struct is a clock that moves only when told to.
 type Manual struct {
 	now atomic.Int64
--- /dev/null
+++ b/clock/suspend_test.go
@@ -0,0 +1,135 @@
+package clock
+
+import (
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// machine is a machine's clocks, which a test moves.
+type machine struct {
+	mu                 sync.Mutex
+	steady, wall, boot Millis
+	asked              int
+	broken             error
+}
+
+func (m *machine) read() reading {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return reading{steady: m.steady, wall: m.wall}
+}
+
+func (m *machine) bootTime() (boot, steady Millis, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.asked++
+	return m.boot, m.steady, m.broken
+}
+
+// run lets time pass.
+func (m *machine) run(d Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.steady, m.wall, m.boot = m.steady+d, m.wall+d, m.boot+d
+}
+
+// suspend lets time pass of which the steady clock knows nothing.
+func (m *machine) suspend(d Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wall, m.boot = m.wall+d, m.boot+d
+}
+
+func newMachine() *machine {
+	return &machine{steady: 500, wall: 1_000_000, boot: 7_000}
+}
+
+// A machine that is suspended for seconds wakes with a steady clock that has not moved. All that goes by elapsed time took
+// what it held for fresh: keys that had been taken away meanwhile, parts of limits that others had been given, leases.
+func TestSuspensionsCount(t *testing.T) {
+	is := is.New(t)
+	m := newMachine()
+	c := newSystem(m.read, m.bootTime)
+	is.Equal(c.Now(), Millis(1_000_000))
+	m.run(2 * Second)
+	is.Equal(c.Now(), Millis(1_002_000))
+	asked := m.asked
+	m.suspend(5 * Second)
+	is.Equal(c.Now(), Millis(1_007_000)) // the first look after waking knows
+	m.run(100)
+	is.Equal(c.Now(), Millis(1_007_100))
+	is.Equal(m.asked, asked+1) // and the kernel is asked but once
+	m.suspend(3 * Second)
+	m.suspend(2 * Second)
+	is.Equal(c.Now(), Millis(1_012_100))
+}
+
+// TestTimeOfDayIsNotFollowed sets the time of day forth and back, by itself and while the machine is suspended.
+func TestTimeOfDayIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	m := newMachine()
+	c := newSystem(m.read, m.bootTime)
+	for _, jump := range []Millis{2 * Second, -5 * Second, 30, -30} {
+		before := c.Now()
+		m.wall += jump
+		is.Equal(c.Now(), before)
+		m.run(10)
+		is.Equal(c.Now(), before+10)
+	}
+	before := c.Now()
+	m.suspend(4 * Second)
+	m.wall -= 3 * Second
+	is.Equal(c.Now(), before+4*Second)
+}
+
+// TestClockNeverGoesBack has many look at once as the machine wakes, and the kernel fail.
+func TestClockNeverGoesBack(t *testing.T) {
+	m := newMachine()
+	c := newSystem(m.read, m.bootTime)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			last := c.Now()
+			for range 2000 {
+				now := c.Now()
+				if now < last {
+					t.Errorf("%d after %d", now, last)
+				}
+				last = now
+			}
+		})
+	}
+	for i := range 200 {
+		m.run(1)
+		m.suspend(Millis(i))
+	}
+	wg.Wait()
+	m.broken = errors.New("no such clock")
+	before := c.Now()
+	m.suspend(Second)
+	m.run(5)
+	if now := c.Now(); now < before+5 {
+		t.Errorf("%d after %d: a kernel that cannot tell stops the clock", now, before)
+	}
+}
+
+func TestSystemClockOfThisMachine(t *testing.T) {
+	is := is.New(t)
+	boot, steady, err := bootTime()
+	is.NoErr(err)
+	is.True(boot >= steady)
+	c := NewSystem()
+	first := c.Now()
+	is.True(c.Now()-first < Second)
+}
+
+// BenchmarkNow is what a look at the clock costs: 106 ns, where the steady clock alone costs 68.
+func BenchmarkNow(b *testing.B) {
+	c := NewSystem()
+	for b.Loop() {
+		_ = c.Now()
+	}
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -63,10 +63,12 @@
 	// more is added to the node's settings.
 	more string
 	door *standin.Door
-	path string
-	node *node.Node
-	stop context.CancelFunc
-	log  *lines
+	// clock is the node's own, if it is not the fleet's.
+	clock clock.Clock
+	path  string
+	node  *node.Node
+	stop  context.CancelFunc
+	log   *lines
 }
 
 // lines keeps what a node logs.
@@ -215,8 +217,12 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	p := tinladder.On(s.Store.Address, f.clock)
-	if n.node, err = node.New(s, n.path, p, f.clock, log); err != nil {
+	c := f.clock
+	if n.clock != nil {
+		c = n.clock
+	}
+	p := tinladder.On(s.Store.Address, c)
+	if n.node, err = node.New(s, n.path, p, c, log); err != nil {
 		f.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
