--- a/soak/callers.go
+++ b/soak/callers.go
@@ -85,6 +85,10 @@
 	for i := range c.world.cfg.Leavers {
 		c.wg.Go(func() { c.leave(ctx, i) })
 	}
+	for i := range c.world.cfg.Crashers {
+		c.wg.Go(func() { c.crash(ctx, i) })
+	}
+	c.wg.Go(func() { c.world.replaceCrashed(ctx) })
 	c.wg.Go(func() { c.rotating(ctx) })
 	c.wg.Go(func() { c.steal(ctx) })
 	for i := range flooders {
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -103,6 +103,7 @@
 	o.checkFloor()
 	o.checkRank()
 	o.checkGone()
+	o.checkCrash()
 	r.Breaches = o.found
 	r.Unanswered = o.unanswered
 	r.Flood, r.FloodSent = o.flood, o.floodSent
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -45,6 +45,8 @@
 	Resting int
 	// Leavers are callers that do not wait for their answers.
 	Leavers int
+	// Crashers are callers that send requests again and again that crash each target that runs them.
+	Crashers int
 	// Only names the faults that may happen, if not all may.
 	Only []string
 	// Planned leaves nothing that strikes but what operators do: stops, reloads, changes of the desired state.
@@ -56,14 +58,14 @@
 // Usual is a run of the usual size: a few processes, about 20 s.
 func Usual(seed uint64, binary, dir string) Config {
 	return Config{
-		Seed: seed, Nodes: 6, Targets: 10, Rate: 80, Leavers: 2, Faults: 12 * time.Second, Calm: 5 * time.Second, Binary: binary, Dir: dir,
+		Seed: seed, Nodes: 6, Targets: 10, Rate: 80, Leavers: 2, Crashers: 1, Faults: 12 * time.Second, Calm: 5 * time.Second, Binary: binary, Dir: dir,
 	}
 }
 
 // Stops is a run of planned stops in series, under connections that rest for long.
 func Stops(seed uint64, binary, dir string) Config {
 	cfg := Usual(seed, binary, dir)
-	cfg.Planned, cfg.Resting = true, 400
+	cfg.Planned, cfg.Resting, cfg.Crashers = true, 400, 0
 	return cfg
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,6 +33,14 @@
 	{21, "requests on connections that had rested ended without an answer as their nodes did, with half of the grace period left"},
 }
 
+// crashing are run in CI: all faults, beside two callers whose requests crash targets.
+var crashing = []struct {
+	seed uint64
+	why  string
+}{
+	{31, "a request that crashed its targets was sent on for as long as it came"},
+}
+
 // scenarios are run in CI: what seeds rarely bring about, one fault again and again.
 var scenarios = []struct {
 	fault            string
@@ -55,6 +63,14 @@
 			run(t, soak.Usual(s.seed, binary, t.TempDir()))
 		})
 	}
+	for _, s := range crashing {
+		t.Run(fmt.Sprint("crash ", s.seed), func(t *testing.T) {
+			t.Parallel()
+			cfg := soak.Usual(s.seed, binary, t.TempDir())
+			cfg.Crashers = 2
+			play(t, cfg, 12)
+		})
+	}
 	for _, s := range stops {
 		t.Run(fmt.Sprint("stops ", s.seed), func(t *testing.T) {
 			t.Parallel()
@@ -67,7 +83,7 @@
 		t.Run(s.fault, func(t *testing.T) {
 			t.Parallel()
 			cfg := soak.Usual(1, binary, t.TempDir())
-			cfg.Only, cfg.Resting = []string{s.fault}, s.resting
+			cfg.Only, cfg.Resting, cfg.Crashers = []string{s.fault}, s.resting, 0
 			play(t, cfg, s.targets)
 		})
 	}
@@ -85,7 +101,7 @@
 // run plays a short run of few targets, without callers that leave, as when its seed was drawn.
 func run(t *testing.T, cfg soak.Config) {
 	t.Helper()
-	cfg.Leavers = 0
+	cfg.Leavers, cfg.Crashers = 0, 0
 	play(t, cfg, 6)
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -240,6 +240,7 @@
 	if err != nil {
 		return err
 	}
+	t.CrashOn(crashPrefix)
 	w.targets = append(w.targets, &backend{Target: t, joinedAt: time.Now()})
 	return nil
 }
