--- a/cmd/tinladderctl/control.go
+++ b/cmd/tinladderctl/control.go
@@ -58,6 +58,10 @@
 		return c.report(ctx, args.Report)
 	case args.Spaces != nil:
 		return workspaces(ctx, c.out, args.Spaces)
+	case args.Held != nil:
+		return c.quarantine(ctx)
+	case args.Lift != nil:
+		return c.lift(ctx, args.Lift)
 	case args.Resolve != nil:
 		return c.resolve(ctx, args.Resolve)
 	case args.Leave != nil:
--- a/cmd/tinladderctl/main.go
+++ b/cmd/tinladderctl/main.go
@@ -66,6 +66,10 @@
 	Workspace string `arg:"positional,required"`
 }
 
+type liftCmd struct {
+	Print string `arg:"positional,required" help:"the request's print, as quarantine or the logs show it"`
+}
+
 type emptyCmd struct{}
 
 type arguments struct {
@@ -84,6 +88,8 @@
 	Report  *reportCmd     `arg:"subcommand:report" help:"show what failed"`
 	Explain *explainCmd    `arg:"subcommand:explain" help:"say from the nodes' logs what became of a request"`
 	Spaces  *workspacesCmd `arg:"subcommand:workspaces" help:"show what workspaces with a limit made of it, from the nodes' metrics"`
+	Held    *emptyCmd      `arg:"subcommand:quarantine" help:"list the requests under which targets crashed"`
+	Lift    *liftCmd       `arg:"subcommand:lift" help:"have a request that is held back be sent again"`
 	Resolve *resolveCmd    `arg:"subcommand:resolve" help:"settle a change whose fate is not known"`
 	Leave   *emptyCmd      `arg:"subcommand:leave" help:"make the node leave the fleet"`
 	NewTok  *tokenCmd      `arg:"subcommand:token" help:"make a token and show its hash"`
@@ -104,6 +110,8 @@
   tinladderctl report --logs node1.log node2.log
   tinladderctl report --every 2s --logs node1.log node2.log
   tinladderctl report --plot night.png --logs *.log
+  tinladderctl quarantine
+  tinladderctl lift 9f2c04d1a7be56380c1d2e3f40516273
   tinladderctl workspaces 10.0.1.4:7200 10.0.2.4:7200
   tinladderctl explain 9c41d07be2a35f68 node1.log node2.log
 
--- a/trace/story.go
+++ b/trace/story.go
@@ -16,6 +16,7 @@
 	requestFailed  = "request_failed"
 	requestServed  = "request_served"
 	requestRefused = "request_refused"
+	requestHeld    = "request_held"
 	requestSums    = "requests"
 	targetAvoided  = "target_avoided"
 	targetLeft     = "target_left"
@@ -50,13 +51,15 @@
 	// tried are the times at which attempts ended, by target, and nodes the last line of each node about the request.
 	tried map[string][]time.Time
 	nodes map[string]time.Time
+	// prints are what the request is known by, where targets crashed that ran it.
+	prints map[string]bool
 	// lives are the nodes' processes that ended without a word.
 	lives *lives
 }
 
 // NewCase returns the case of the request, of which nothing is known.
 func NewCase(request string) *Case {
-	return &Case{request: request, tried: map[string][]time.Time{}, nodes: map[string]time.Time{}, lives: newLives()}
+	return &Case{request: request, tried: map[string][]time.Time{}, nodes: map[string]time.Time{}, prints: map[string]bool{}, lives: newLives()}
 }
 
 // First takes in one line in the first pass.
@@ -66,6 +69,9 @@
 		return
 	}
 	c.own = append(c.own, l)
+	if p := l.Get("print"); p != "" {
+		c.prints[p] = true
+	}
 	if l.At.After(c.nodes[l.Source]) {
 		c.nodes[l.Source] = l.At
 	}
@@ -82,6 +88,9 @@
 	}) {
 		c.near = append(c.near, l)
 	}
+	if l.Event == requestHeld && c.prints[l.Get("print")] && l.Get("by") == "seen" {
+		c.near = append(c.near, l)
+	}
 	if last, found := c.nodes[l.Source]; l.Event == started && found && l.At.After(last) && l.At.Sub(last) < restartWithin.Duration() {
 		c.near = append(c.near, l)
 	}
@@ -121,6 +130,11 @@
 			told = append(told, around(lines, a)...)
 		}
 	}
+	for _, l := range lines {
+		if l.Event == requestHeld {
+			told = append(told, l)
+		}
+	}
 	slices.SortStableFunc(told, byTime)
 	for _, l := range slices.Compact(told) {
 		s.Lines = append(s.Lines, strings.TrimSpace(l.Source+" "+l.Text))
@@ -171,6 +185,9 @@
 	case requestServed:
 		return "served", fmt.Sprintf("It was served with status %s after %s ms.%s", end.Get("status"), end.Get("ms"), sayAttempts(attempts, all))
 	case requestRefused:
+		if end.Get("print") != "" {
+			return "held_back", sayHeldBack(end, all)
+		}
 		return "refused", fmt.Sprintf("It was refused with status %s, since: %s (desired state version %s). It has not run.",
 			end.Get("status"), end.Get("reason"), end.Get("version"))
 	case requestFailed:
@@ -179,6 +196,20 @@
 	return "open", "No line says how it ended" + sayRestart(end, all) + sayAttempts(attempts, all)
 }
 
+// sayHeldBack says which targets crashed under a request that is held back, and how it may be let through again.
+func sayHeldBack(end *Line, all []*Line) string {
+	said := fmt.Sprintf("It was refused with status %s, since targets crash that run it: %s. It has not run; the caller was told to come back in %s ms.",
+		end.Get("status"), end.Get("reason"), end.Get("retry_after_ms"))
+	for _, l := range all {
+		if l.Event == requestHeld && l.Get("print") == end.Get("print") {
+			said += fmt.Sprintf(" It is held back since %s, %s ms before, when the last of %s crashed; it is known by its %s.",
+				l.At.UTC().Format(time.TimeOnly), strconv.FormatInt(end.At.Sub(l.At).Milliseconds(), 10), l.Get("targets"), l.Get("known_by"))
+			break
+		}
+	}
+	return said + fmt.Sprintf(" \"tinladderctl lift %s\" lets it through again.", end.Get("print"))
+}
+
 // restartWithin is how long after a request's last line its node's next process is looked for.
 const restartWithin = 30 * clock.Second
 
