--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -107,7 +107,7 @@
 // late counts the requests for the path that targets got later than contact after the third crash.
 func (b *brittle) late(path string) (count int) {
 	b.mu.Lock()
-	crashes := slices.SortedFunc(slices.Values(b.crashes), time.Time.Compare)
+	crashes := sortedTimes(b.crashes)
 	b.mu.Unlock()
 	if len(crashes) < 3 {
 		return 0
@@ -161,3 +161,7 @@
 		t.Errorf("%d of %d other requests were not served", lost, asked)
 	}
 }
+
+func sortedTimes(list []time.Time) []time.Time {
+	return slices.SortedFunc(slices.Values(list), time.Time.Compare)
+}
