A node that the store turned away reads the newest state, not every version that it missed

Callers of a node whose store turned it away while operators changed the state several times met a state that was seconds old for longer than promised: on a small link ten versions of 0.1 MB each came one after the other (over 3.0 s; one alone 0.6 s). Cause: such a node followed the changes from where it stood, and each version it missed came whole. Cost: a watcher that is answered again reads one state also where nothing has changed.

--- a/node/duty.go
+++ b/node/duty.go
@@ -37,6 +37,9 @@
 	dutyCheck clock.Millis = 50
 	// settle is how long a change of targets waits for others to come with it.
 	settle clock.Millis = 150
+	// rereadAfter is how long the store must have turned a node away for it to read the newest state whole. It may have
+	// missed several, and following them would bring each of them over its link.
+	rereadAfter clock.Millis = 400
 	// never stands for an age of what never was.
 	never = -1
 )
@@ -66,6 +69,8 @@
 	weighed uint64
 	// place is this node's among them while none is turned away; -1 if it is not worked out.
 	place int
+	// lostAt is since when the store turns this node away; 0 if it answers.
+	lostAt clock.Millis
 	// gap says that the store has forgotten the changes after the state that this node holds.
 	gap bool
 }
@@ -187,6 +192,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m := d.marks[k]
+	if k == store.State && d.lostAt > 0 && d.node.clock.Now()-d.lostAt >= rereadAfter {
+		return 0
+	}
 	if k == store.State && !d.gap {
 		m = max(m, store.Mark(d.node.records.sets[k].Newest()))
 	}
@@ -281,6 +289,9 @@
 	d.marks[k] = max(d.marks[k], m)
 	d.gap = d.gap && k != store.State
 	d.confirmed[k], d.asked[k] = max(d.confirmed[k], at), d.node.clock.Now()
+	if k == store.State {
+		d.lostAt = 0
+	}
 	d.mu.Unlock()
 	if d.hall.Answered() {
 		d.node.metrics.storeAway(false)
@@ -292,6 +303,11 @@
 // lost notes that the store did not answer this node, and returns how long to wait.
 func (d *duty) lost(k store.Kind, err error) clock.Millis {
 	wait, first := d.hall.TurnedAway()
+	d.mu.Lock()
+	if d.lostAt == 0 {
+		d.lostAt = d.node.clock.Now()
+	}
+	d.mu.Unlock()
 	d.node.metrics.storeFailed(k)
 	if first {
 		d.node.metrics.storeAway(true)
