One word for all that a request is known by, and one crash goes to who uses the service

Cause: each crash had three datagrams for each request that was lost, to all nodes: some 60 KB a crash at 44 nodes by reckoning, where bytes between halls are what costs most. Now one datagram has all three prints, the first crash and its being cleared go to the nodes that carry or use the service, and two crashes to all. A node whose store does not answer tries to write 1 s later in place of 0.15 s on average.

--- a/node/suspects.go
+++ b/node/suspects.go
@@ -26,8 +26,10 @@
 	claimTimeout clock.Millis = 400
 	// rowTries is how often a row is written again that another node wrote meanwhile.
 	rowTries = 4
-	// rowPause is the pause after the store did not answer, and at most before a row that other nodes may write too.
-	rowPause clock.Millis = 300
+	// rowPause is the longest pause between writes of rows, which other nodes may write too, and awayPause how much longer
+	// it is while the store does not answer.
+	rowPause  clock.Millis = 300
+	awayPause              = 1 * clock.Second
 	// whatBytes bounds what operators are told of a request.
 	whatBytes = 160
 	// trialDuty names the duty to try a request while the store is away, for each request.
@@ -83,6 +85,7 @@
 
 // crashed takes in that the target's process ended while it ran the request, which was sent to it at the time.
 func (s *suspects) crashed(x *exchange, target ident.Target, from clock.Millis) {
+	var news []quarantine.Case
 	for b, p := range x.printed() {
 		c := quarantine.Case{
 			Print: p, Breadth: quarantine.Breadth(b), Service: x.service.name, What: whatOf(x.r),
@@ -93,11 +96,35 @@
 			continue
 		}
 		c = s.tell(change, p, "seen")
-		s.broadcast(quarantine.ToWire(c, s.node.clock.Now()))
+		news = append(news, c)
 		if len(c.Crashes) >= quarantine.Alone || len(s.node.members.Live()) == 0 {
 			s.want(p)
 		}
 	}
+	s.spread(x.service, news)
+}
+
+// audience returns the nodes that hear of a request: of one crash, which may be chance, those that use the service; of
+// more, all.
+func (s *suspects) audience(svc *service, wide bool) []*tlv1.Member {
+	if wide {
+		return s.node.members.Live()
+	}
+	return s.node.services.withUsers(svc, s.node.carriers.all(svc.name))
+}
+
+// spread tells other nodes what is known of a request by each of its prints.
+func (s *suspects) spread(svc *service, news []quarantine.Case) {
+	m := &tlv1.Suspects{}
+	wide := false
+	for i, c := range news {
+		wide = wide || len(c.Crashes) >= quarantine.Alone
+		if i > 0 {
+			c.Service, c.What = "", ""
+		}
+		m.Suspects = append(m.Suspects, quarantine.ToWire(c, s.node.clock.Now()))
+	}
+	s.send(m, s.audience(svc, wide))
 }
 
 // whatOf names a request for operators, without its query: that may hold what is nobody's to read.
@@ -111,21 +138,31 @@
 	if s.list.Empty() {
 		return
 	}
+	m := &tlv1.Suspects{}
+	wide := false
 	for _, p := range x.printed() {
-		s.clear(p, "answer")
+		if was, found := s.lift(p, "answer"); found {
+			m.Suspects = append(m.Suspects, &tlv1.Suspect{Print: p[:], Cleared: true})
+			wide = wide || len(was.Crashes) >= quarantine.Alone
+		}
 	}
+	s.send(m, s.audience(x.service, wide))
 }
 
-// clear lifts what is held against the request, here and at the other nodes. It says whether there was anything.
-func (s *suspects) clear(p quarantine.Print, by string) bool {
-	was, found := s.list.Clear(p)
-	if !found {
-		return false
+// lift takes back what is held against the request here, and has the store do so. It says whether there was anything.
+func (s *suspects) lift(p quarantine.Print, by string) (was quarantine.Case, found bool) {
+	if was, found = s.list.Clear(p); found {
+		s.tellLifted(was, by)
+		s.want(p)
+	}
+	return was, found
+}
+
+// clear does the same, and tells the other nodes.
+func (s *suspects) clear(p quarantine.Print, by string) {
+	if _, found := s.lift(p, by); found {
+		s.send(&tlv1.Suspects{Suspects: []*tlv1.Suspect{{Print: p[:], Cleared: true}}}, s.node.members.Live())
 	}
-	s.tellLifted(was, by)
-	s.broadcast(&tlv1.Suspect{Print: p[:], Cleared: true})
-	s.want(p)
-	return true
 }
 
 // want has the store told of the request.
@@ -139,26 +176,33 @@
 	}
 }
 
-func (s *suspects) broadcast(m *tlv1.Suspect) {
+func (s *suspects) send(m *tlv1.Suspects, members []*tlv1.Member) {
+	if len(m.GetSuspects()) == 0 {
+		return
+	}
 	n := s.node
-	to := gossipAddresses(n.members.Live(), func(m *tlv1.Member) bool { return m.GetNode() != string(n.self.Node) })
-	n.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Suspect{Suspect: m}}, to...)
+	to := gossipAddresses(members, func(m *tlv1.Member) bool { return m.GetNode() != string(n.self.Node) })
+	n.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Suspects{Suspects: m}}, to...)
 }
 
 // hear takes in another node's word.
-func (s *suspects) hear(m *tlv1.Suspect) {
-	c, ok := quarantine.FromWire(m, s.node.clock.Now())
-	if !ok {
-		return
-	}
-	if m.GetCleared() {
-		if was, found := s.list.Clear(c.Print); found {
-			s.tellLifted(was, "peer")
+func (s *suspects) hear(m *tlv1.Suspects) {
+	for _, one := range m.GetSuspects() {
+		c, ok := quarantine.FromWire(one, s.node.clock.Now())
+		if !ok {
+			continue
+		}
+		if one.GetCleared() {
+			if was, found := s.list.Clear(c.Print); found {
+				s.tellLifted(was, "peer")
+			}
+			continue
+		}
+		first := m.GetSuspects()[0]
+		c.Service, c.What = first.GetService(), first.GetWhat()
+		if change := s.list.Crashed(c); change != quarantine.Nothing {
+			s.tell(change, c.Print, "peer")
 		}
-		return
-	}
-	if change := s.list.Crashed(c); change != quarantine.Nothing {
-		s.tell(change, c.Print, "peer")
 	}
 }
 
@@ -263,24 +307,29 @@
 		case <-s.wake:
 		}
 		for list := s.list.Wanting(); len(list) > 0; list = s.list.Wanting() {
-			s.writeAll(ctx, list)
-			if !pause(ctx, rand.N(rowPause)) {
+			wait := rand.N(rowPause)
+			if !s.writeAll(ctx, list) {
+				wait += awayPause
+			}
+			if !pause(ctx, wait) {
 				return
 			}
 		}
 	}
 }
 
-func (s *suspects) writeAll(ctx context.Context, list []quarantine.Print) {
+// writeAll writes the rows of the requests, and says whether the store took them all.
+func (s *suspects) writeAll(ctx context.Context, list []quarantine.Print) bool {
 	for _, p := range list {
 		one, cancel := context.WithTimeout(ctx, lookTimeout.Duration())
 		err := s.save(one, p, 0)
 		cancel()
 		if err != nil {
 			s.node.log.WithFields(logrus.Fields{"event": "suspect_not_stored", "print": p, "error": err}).Warn()
-			return
+			return false
 		}
 	}
+	return true
 }
 
 // tick forgets what has grown old.
--- a/node/wire.go
+++ b/node/wire.go
@@ -176,8 +176,8 @@
 			n.quotas.lend(b.Borrow)
 		case *tlv1.Parcel_Lend:
 			n.quotas.borrowed(b.Lend)
-		case *tlv1.Parcel_Suspect:
-			n.suspects.hear(b.Suspect)
+		case *tlv1.Parcel_Suspects:
+			n.suspects.hear(b.Suspects)
 		}
 	}
 }
