--- a/node/crash_kinds_test.go
+++ b/node/crash_kinds_test.go
@@ -242,3 +242,18 @@
 	is.Equal(f.seen("held back"), 0)
 	is.True(f.seen("outcome=silent", "door=open") > 0) // there were some
 }
+
+// TestLostConnectionsAreNoCrashes has a target that loses the connection of each request and goes on: nothing is held
+// against the requests, though none of them ever gets an answer.
+func TestLostConnectionsAreNoCrashes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2)
+	f.calm(1)
+	f.target("t0", "desk").SetFaults(standin.TargetFaults{Lose: 1})
+	f.ready(1, 1)
+	for i := range 8 {
+		is.Equal(f.call(f.nodes[i%2], http.MethodPost, "/once/same", fmt.Sprint("lost-", i), "order").status, http.StatusBadGateway)
+	}
+	is.True(f.seen("outcome=silent", "door=open") > 0)
+	is.Equal(f.seen("event=request_suspected"), 0)
+}
