A trial goes to one target only, also where the targets before crashed at once; no hedge beside one whose like crash targets

Callers' others lose one target by a trial, not two: after three crashes at the same time a trial could be hedged and tried again, and a second attempt was decided by what was known as the race began. Found by reading.

--- a/node/race.go
+++ b/node/race.go
@@ -90,7 +90,7 @@
 // requests that have failed.
 func (x *exchange) hedge() *pool.Lease {
 	b := x.service.pool.Budget()
-	if b.Left() < hedgeSpare {
+	if b.Left() < hedgeSpare || x.sole() { // of its like, targets may have crashed since it began
 		return nil
 	}
 	a := x.ask()
--- /dev/null
+++ b/node/suspect_rows.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/tinladder/tinladder/assign"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/quarantine"
+	"github.com/tinladder/tinladder/replica"
+	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+	"github.com/tinladder/tinladder/store"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// claimTimeout bounds how long a request that is held back waits for the store's word that it may be tried.
+	claimTimeout clock.Millis = 400
+	// rowTries is how often a row is written again that another node wrote meanwhile.
+	rowTries = 4
+	// rowPause is the longest pause between writes of rows, which other nodes may write too, and awayPause how much longer
+	// it is while the store does not answer.
+	rowPause  clock.Millis = 300
+	awayPause              = 1 * clock.Second
+	// trialDuty names the duty to try a request while the store is away, for each request.
+	trialDuty = "trial/"
+)
+
+// take takes in rows of the store.
+func (s *suspects) take(news []replica.Record, from string) {
+	for _, x := range news {
+		row := &tlv1.Suspects{}
+		if err := proto.Unmarshal(x.Value, row); err != nil {
+			s.node.log.WithFields(logrus.Fields{"event": "record_unreadable", "key": x.Key, "version": x.Version, "from": from, "error": err}).Warn()
+			continue
+		}
+		for p, change := range s.list.Take(x.Key, row) {
+			if change == quarantine.Nothing {
+				continue
+			}
+			s.tell(change, p, from)
+			if change == quarantine.Held {
+				s.want(p) // by what was seen here besides: the store has to know all of it
+			}
+		}
+	}
+}
+
+// claimAll says whether the request may be tried here and now, by each of its prints that is held back.
+func (s *suspects) claimAll(ctx context.Context, x *exchange) bool {
+	for _, p := range x.printed() {
+		if v := s.list.Decide(p); v.Held && !s.claim(ctx, p, v.Trials+1) {
+			return false
+		}
+	}
+	return true
+}
+
+// claim says whether a request of the print may be tried here and now. Of all nodes one may, which the store decides; while
+// that is away, the one that is first for it among those that this node hears.
+func (s *suspects) claim(ctx context.Context, p quarantine.Print, trials int) bool {
+	if !s.list.Tried(p, trials) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout.Duration())
+	defer cancel()
+	err := s.save(ctx, p, trials)
+	granted := err == nil || errors.Is(err, store.ErrAway) && s.first(p)
+	s.node.metrics.trial(granted)
+	s.node.log.WithFields(logrus.Fields{"event": "request_trial", "print": p, "trials": trials, "granted": granted, "error": err}).Warn()
+	return granted
+}
+
+// first says whether this node is first for trials of the request, of those that it hears.
+func (s *suspects) first(p quarantine.Print) bool {
+	n := s.node
+	list := []assign.Candidate{{Node: n.self.Node, Weight: evenWeight}}
+	for _, m := range n.members.Live() {
+		list = append(list, assign.Candidate{Node: ident.Node(m.GetNode()), Weight: evenWeight})
+	}
+	return assign.First(trialDuty+p.String(), list) == n.self.Node
+}
+
+// errTaken says that another node has let the request through.
+var errTaken = errors.New("another node tries the request")
+
+// save writes what is known here of the request to its row. It fails with errTaken if it is for a trial, trials being its
+// number, that the row names already.
+func (s *suspects) save(ctx context.Context, p quarantine.Print, trials int) (err error) {
+	defer func() { err = errors.Wrapf(err, "save what is held against request %s", p) }()
+	key := quarantine.RowOf(p)
+	held, _ := s.node.records.sets[store.Suspects].Get(key)
+	row := store.Row{Key: key, Value: held.Value, Version: held.Version}
+	for range rowTries {
+		was := &tlv1.Suspects{}
+		if err := proto.Unmarshal(row.Value, was); err != nil {
+			return err
+		}
+		if trials > 0 && quarantine.TrialsIn(was, p) >= trials {
+			return errTaken
+		}
+		value, err := proto.Marshal(s.list.Row(p, was))
+		if err != nil {
+			return err
+		}
+		err = s.table.Commit(ctx, store.Write{Key: key, Value: value, Expected: row.Version})
+		var conflict *store.Conflict
+		if errors.As(err, &conflict) && len(conflict.Rows) > 0 {
+			row = conflict.Rows[0]
+			continue
+		}
+		if err == nil {
+			s.list.Wrote(p)
+			s.node.duty.look(store.Suspects)
+		}
+		return err
+	}
+	return errors.Wrap(store.ErrAway, "the row is too busy")
+}
+
+// write has the store know what this node is to tell it, until the context ends.
+func (s *suspects) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		}
+		for list := s.list.Wanting(); len(list) > 0; list = s.list.Wanting() {
+			wait := rand.N(rowPause)
+			if !s.writeAll(ctx, list) {
+				wait += awayPause
+			}
+			if !pause(ctx, wait) {
+				return
+			}
+		}
+	}
+}
+
+// writeAll writes the rows of the requests, and says whether the store took them all.
+func (s *suspects) writeAll(ctx context.Context, list []quarantine.Print) bool {
+	for _, p := range list {
+		one, cancel := context.WithTimeout(ctx, lookTimeout.Duration())
+		err := s.save(one, p, 0)
+		cancel()
+		if err != nil {
+			s.node.log.WithFields(logrus.Fields{"event": "suspect_not_stored", "print": p, "error": err}).Warn()
+			return false
+		}
+	}
+	return true
+}
