--- a/node/suspended_test.go
+++ b/node/suspended_test.go
@@ -23,8 +23,7 @@
 }
 
 // TestMachineThatWakesTrustsNothingOld suspends the machine of a node for six seconds, within which a key is taken away.
-// The first request after waking comes before any word of the store: the node may not go by what it held for fresh before,
-// and neither by its part of a limit.
+// The first request after waking comes before any word of the store: the node may not go by what it held for fresh before.
 func TestMachineThatWakesTrustsNothingOld(t *testing.T) {
 	is := is.New(t)
 	f := newFleetWith(t, 1, func(int) string { return "revoke = \"5s\"\n" })
