--- a/node/crash_kinds_test.go
+++ b/node/crash_kinds_test.go
@@ -14,6 +14,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/platform"
 	"github.com/tinladder/tinladder/platform/standin"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"github.com/tinladder/tinladder/schema/tinladder/v1/tinladderv1connect"
@@ -125,7 +126,7 @@
 	sent := len(b.sent(crashPath))
 	f.nodes = append(f.nodes, late)
 	f.start(late)
-	f.eventually("the new node is ready", func() bool { return f.status(late.readiness, "/api/ready") == http.StatusOK })
+	f.eventually("the new node is ready", func() bool { return f.status(late.readiness, platform.ReadyPath) == http.StatusOK })
 	for i := range 3 {
 		is.Equal(f.call(late, http.MethodGet, crashPath, fmt.Sprint("late-", i), "").status, http.StatusServiceUnavailable)
 	}
