Sight: the log says what was read of the store for how long, and when a node that was turned away asks again

TestManyChangesWhileTheStoreIsAway failed in 4 of 13 and 4 of 20 runs (one after the other, and four at a time), and the log had one store_lost and one store_regained. Now each refusal has pause_ms (store_still_lost after the first, at most as many lines as calls), and an answer that took 0.25 s or more has its kind, what it followed, its records and its time (store_read). Ruled out: the pause between questions (first guess; drawn pauses are 0.2 to 0.4 s in the runs that fail, longer in some that pass), and the wait of a watcher's question.

--- a/node/duty.go
+++ b/node/duty.go
@@ -255,6 +255,7 @@
 		}
 	}
 	at = n.clock.Now()
+	d.tellLongRead(k, m, r, at-sent, err)
 	if err == nil && r.Clock > 0 {
 		d.proof.Answered(sent, at, r.Clock, k == store.State && n.records.readable())
 	}
@@ -269,6 +270,19 @@
 	return r.Mark, at, nil
 }
 
+// longRead is how long an answer of the store takes that is told of in the log.
+const longRead clock.Millis = 250
+
+// tellLongRead tells of an answer that took long to come, other than by waiting for changes.
+func (d *duty) tellLongRead(k store.Kind, m store.Mark, r store.Reply, took clock.Millis, err error) {
+	if took < longRead || err != nil || m > 0 && len(r.Records) == 0 {
+		return
+	}
+	d.node.log.WithFields(logrus.Fields{
+		"event": "store_read", "kind": k, "after": m, "upto": r.Mark, "records": len(r.Records), "ms": took,
+	}).Info()
+}
+
 // look reads the kind from the store at once, since something was just written there.
 func (d *duty) look(k store.Kind) {
 	go func() {
@@ -309,9 +323,12 @@
 	}
 	d.mu.Unlock()
 	d.node.metrics.storeFailed(k)
+	line := d.node.log.WithFields(logrus.Fields{"event": "store_lost", "kind": k, "error": err, "pause_ms": wait})
 	if first {
 		d.node.metrics.storeAway(true)
-		d.node.log.WithFields(logrus.Fields{"event": "store_lost", "kind": k, "error": err}).Warn()
+		line.Warn()
+	} else {
+		line.WithField("event", "store_still_lost").Info()
 	}
 	d.confirm()
 	return wait
