A node that reads a large state for long reads the newest one next, not each version that came meanwhile

Cost: one more read of a state that is that slow to come, where nothing has changed since; marks of others' words and fast links are as before.

--- a/node/duty.go
+++ b/node/duty.go
@@ -37,8 +37,9 @@
 	dutyCheck clock.Millis = 50
 	// settle is how long a change of targets waits for others to come with it.
 	settle clock.Millis = 150
-	// rereadAfter is how old the last word of the store must be for a node that was turned away to read the newest state
-	// alone. It may have missed several, and following them brings each of them over its link.
+	// rereadAfter is how old the last word of the store must be for a node that was turned away, or that was busy reading
+	// a state, to read the newest one alone. It may have missed several, and following them brings each of them over its
+	// link.
 	rereadAfter clock.Millis = 400
 	// never stands for an age of what never was.
 	never = -1
@@ -69,7 +70,8 @@
 	weighed uint64
 	// place is this node's among them while none is turned away; -1 if it is not worked out.
 	place int
-	// missing says that versions of the state may have passed this node by, since the store turned it away.
+	// missing says that versions of the state may have passed this node by: the store turned it away, or it read a large
+	// one for long.
 	missing bool
 	// gap says that the store has forgotten the changes after the state that this node holds.
 	gap bool
@@ -302,9 +304,10 @@
 	d.mu.Lock()
 	d.marks[k] = max(d.marks[k], m)
 	d.gap = d.gap && k != store.State
-	d.confirmed[k], d.asked[k] = max(d.confirmed[k], at), d.node.clock.Now()
+	now := d.node.clock.Now()
+	d.confirmed[k], d.asked[k] = max(d.confirmed[k], at), now
 	if k == store.State {
-		d.missing = false
+		d.missing = now-at >= rereadAfter
 	}
 	d.mu.Unlock()
 	if d.hall.Answered() {
--- a/node/large_state_test.go
+++ b/node/large_state_test.go
@@ -144,6 +144,32 @@
 	}
 }
 
+// TestChangesFasterThanTheLink changes a large state faster than a node's link carries its versions. The newest must be in
+// force in time all the same: those before it are of no use.
+func TestChangesFasterThanTheLink(t *testing.T) {
+	const (
+		linkBytes = 200_000
+		routes    = 500
+		changes   = 20
+		bound     = 2500 * time.Millisecond
+	)
+	f := newFleetOnLinks(t, 1, linkBytes)
+	f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	f.eventually("the node follows the store", func() bool { return f.nodes[0].door.Usage().Feeds > 1 })
+	var acked time.Time
+	for i := range changes {
+		acked = f.grown(4+i, routes+i, false)
+		time.Sleep(100 * time.Millisecond)
+	}
+	last, late := f.inForceWithin(3+changes, acked, bound)
+	t.Logf("in force after %v", last)
+	if late != nil {
+		t.Errorf("not in force after %v", last)
+	}
+}
+
 // TestGrowingStateReachesAllInTime lets the state grow four times, each time with a second change right after
 // it, while targets come and go. Each must be in force on all nodes within 2.5 s of the store's word.
 func TestGrowingStateReachesAllInTime(t *testing.T) {
