Failing test: nodes that are cut off from their hall as the store comes back ask it late

Found by looking for what else keeps a node behind after the store was away. In touch is 3 s. Cause: the pause after a refusal is drawn for the hall as it was (up to 6 s, 9 s with chance) and slept through, whatever changes meanwhile; and a refusal of one kind of record lengthens all kinds' pauses, while an answer to one kind ends none of them.

--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -37,6 +37,8 @@
 	next   clock.Millis
 	asking bool
 	dead   bool
+	// alone says that it hears no other node, and none hears it.
+	alone bool
 }
 
 // sim is a hall in virtual time.
@@ -111,7 +113,7 @@
 // tell has the others hear of how the store treats the node, and how old its word is.
 func (s *sim) tell(from *simNode, deaf bool) {
 	for _, n := range s.nodes {
-		if n != from && !n.dead {
+		if n != from && !n.dead && !n.alone && !from.alone {
 			n.hall.Heard(from.self, deaf)
 			n.confirmed = max(n.confirmed, from.confirmed)
 		}
@@ -205,3 +207,32 @@
 	is.True(n.hall.Due(watcher.Question{Age: 1750, Rank: 40, Leads: true}))
 	is.True(n.hall.Due(watcher.Question{Age: 1750, Rank: 40}))
 }
+
+// TestNodesCutFromTheirHallAskOnceTheStoreIsBack has the store away for a hall, and cuts its nodes off from each other as
+// the store comes back. Each counts as in touch 3 s after that, and holds the newest state then if it was answered within
+// 2 s, which leaves one to read it. Pauses that were drawn for the whole hall kept nodes silent for up to 8 s.
+func TestNodesCutFromTheirHallAskOnceTheStoreIsBack(t *testing.T) {
+	const bound = 2 * clock.Second
+	for _, how := range []treatment{turns, silent} {
+		for _, size := range []int{1, 3, 12, 58} {
+			for _, away := range []clock.Millis{1 * clock.Second, 4 * clock.Second, 10 * clock.Second} {
+				for range 5 {
+					is := is.New(t)
+					s := newSim(size)
+					s.run(5 * clock.Second)
+					s.treat = func(int) treatment { return how }
+					s.run(away)
+					for _, n := range s.nodes {
+						n.alone = true
+					}
+					s.treat = func(int) treatment { return answers }
+					back := s.clock.Now()
+					s.run(bound)
+					for _, n := range s.nodes {
+						is.True(n.confirmed >= back) // answered since
+					}
+				}
+			}
+		}
+	}
+}
