Limits as a cut moves while a fleet starts: whoever has not met all named nodes deals half, and only while it hears most of them

Cause: most of the named nodes were asked for once; after that a side of the cut went by the nodes that it had met, a number that differs from side to side. Now a process that has not met all named nodes at once has a part only while it hears 0.6 of them, half of it for its first 3 s. Ruled out: a generation of the deal in the store, which costs each node a call at each start and leaves no limits while the store is away. TestCutsThatMoveAsAFleetStarts plays some of the 793.

--- a/limit/deal.go
+++ b/limit/deal.go
@@ -28,8 +28,8 @@
 	Live, Known int
 	// Alone says that the node has never met another one, though there should be some.
 	Alone bool
-	// Named nodes are those that a process that has not met most of them yet was told of at its start, and Met those
-	// that it hears, itself too: of a fleet that starts while it is cut, one side at most meets most of them.
+	// Named nodes are those that a process that has not met all of them at once yet was told of at its start, and Met those
+	// that it hears, itself too: of a fleet that starts while it is cut, one side at most hears most of them.
 	Named, Met int
 	// Young nodes have just started, and may not know all others yet.
 	Young bool
@@ -55,11 +55,39 @@
 	return !v.Alone && v.MetMost() && float64(v.Live) > keepShare*float64(v.Known)
 }
 
-// MetMost says whether the process has met most of the nodes that it was told of.
+// MetMost says whether the process hears most of the nodes that it was told of.
 func (v View) MetMost() bool {
 	return float64(v.Met) >= dealShare*float64(v.Named)
 }
 
+// MetAll says whether the process has met all of the nodes that it was told of.
+func (v View) MetAll() bool {
+	return v.Met >= v.Named
+}
+
+// incompleteShare is the part of the limits that is dealt by nodes that have not met all that they were told of. If a cut
+// moves as a fleet starts, another side may have dealt just before, and goes on until it notices that it hears too few: both
+// have the whole at most.
+const incompleteShare = 0.5
+
+// A meeting is since when a process that has not met all named nodes has heard most of them.
+type meeting struct {
+	since clock.Millis
+	most  bool
+}
+
+// part returns which part of its share the node may use by now.
+func (m *meeting) part(v View, now clock.Millis) float64 {
+	if !m.most {
+		m.since = now
+	}
+	m.most = v.MetMost()
+	if v.MetAll() || now-m.since >= assign.SettleFor {
+		return 1
+	}
+	return incompleteShare
+}
+
 // Share returns the node's part of each limit, if it had the one held: parts add up to one at most, whoever hears
 // whom.
 func (v View) Share(held float64) float64 {
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -22,8 +22,10 @@
 	// carriers is how many nodes callers are sent to.
 	carriers int
 	// lends says that nodes lend each other, lost is the share of messages that do not arrive.
-	lends   bool
-	lost    float64
+	lends bool
+	lost  float64
+	// notices is how long a node takes others for heard that it does not hear any more.
+	notices clock.Millis
 	waiting []waiter
 	// mail is what is on its way, in order.
 	mail []message
@@ -49,6 +51,8 @@
 	side    int
 	down    bool
 	stopped bool
+	// heardAt is when the node last heard each other one.
+	heardAt map[*node]clock.Millis
 	// doubts are until when this node does not take others for such that callers may be sent to, though it hears them.
 	doubts map[*node]clock.Millis
 }
@@ -91,6 +95,7 @@
 func (f *fleet) start(n *node) {
 	n.clock = &stoppable{f.clock}
 	n.table, n.began, n.down, n.known, n.met = limit.New(n.clock, f.bounds), f.clock.Now(), false, 0, false
+	n.heardAt = map[*node]clock.Millis{}
 }
 
 // hears says whether messages go from one node to the other.
@@ -98,17 +103,30 @@
 	return !a.down && !b.down && a.side == b.side
 }
 
+// takes says whether a node takes the other one for heard.
+func (f *fleet) takes(n, m *node) bool {
+	now := f.clock.Now()
+	if m == n || f.hears(n, m) {
+		n.heardAt[m] = now
+		return true
+	}
+	at, heard := n.heardAt[m]
+	return heard && now-at < f.notices
+}
+
 // view is what a node sees, and who carries by it: the first ones that it hears.
 func (f *fleet) view(n *node) limit.View {
 	v := limit.View{Carriers: 0}
 	fresh := true
 	now := f.clock.Now()
 	for _, m := range f.nodes {
-		if m != n && !f.hears(n, m) {
+		if !f.takes(n, m) {
 			continue
 		}
 		v.Live++
-		n.known = max(n.known, m.known) // nodes tell each other when they meet
+		if f.hears(n, m) {
+			n.known = max(n.known, m.known) // nodes tell each other when they meet
+		}
 		if v.Carriers < f.carriers && n.doubts[m] <= now {
 			v.Carriers++
 			v.Sharing = append(v.Sharing, ident.Node(fmt.Sprint(m.id)))
@@ -119,11 +137,11 @@
 	n.known = max(n.known, v.Live)
 	for _, i := range slices.Compact([]int{0, len(f.nodes) / 2, len(f.nodes) - 1}) { // named in the settings
 		v.Named++
-		if m := f.nodes[i]; m == n || f.hears(n, m) {
+		if f.takes(n, f.nodes[i]) {
 			v.Met++
 		}
 	}
-	if n.met = n.met || v.MetMost(); n.met {
+	if n.met = n.met || v.MetAll(); n.met {
 		v.Named, v.Met = 0, 0
 	}
 	v.Known, v.Young = n.known, now-n.began < 500
--- a/limit/table.go
+++ b/limit/table.go
@@ -46,6 +46,9 @@
 	// fresh says that all nodes started with this process: it has what fleets have when they start.
 	fresh   bool
 	sharers *assign.Sharers
+	meeting meeting
+	// dealt is the node's share, of which it may use a part.
+	dealt float64
 }
 
 // New returns a table of a node that has just started: it has no part of any limit yet.
@@ -62,7 +65,8 @@
 	now := t.clock.Now()
 	t.wake(now)
 	held := t.part()
-	share = v.settled(t.sharers, now).Share(held)
+	t.dealt = v.settled(t.sharers, now).Share(t.dealt)
+	share = t.dealt * t.meeting.part(v, now)
 	switch fresh := v.Fresh && len(t.parts) == 1 && t.parts[0].at == t.began && now-t.ticked <= stalled; {
 	case fresh:
 		t.parts, t.fresh = append(t.parts[:0], part{at: t.began, share: share}), true
@@ -80,6 +84,7 @@
 		return
 	}
 	t.move(t.ticked, 0)
+	t.dealt = 0
 	t.dropLoans()
 }
 
--- a/limit/walk_test.go
+++ b/limit/walk_test.go
@@ -1,6 +1,7 @@
 package limit_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/tinladder/tinladder/clock"
@@ -162,3 +163,26 @@
 	f.run(6*clock.Second, rates, flood(0, 12, 2))
 	f.check("a cut that moves")
 }
+
+// TestCutsThatMoveAsAFleetStarts has cuts of many sizes move to others while the nodes that lose their majority notice it
+// at once, or go on for as long as a suspicion lasts. At no time may two sides hold the limits.
+func TestCutsThatMoveAsAFleetStarts(t *testing.T) {
+	const nodes, flood = 13, 4
+	for _, notices := range []clock.Millis{0, 2500} {
+		for from := 1; from < nodes; from += 3 {
+			for to := 1; to < nodes; to += 2 {
+				for _, after := range []clock.Millis{300, 1200} {
+					t.Run(fmt.Sprint(from, " to ", to, " after ", after, ", noticed after ", notices), func(t *testing.T) {
+						f := newFleet(t, nodes, 7, true, 9)
+						f.notices = notices
+						f.cut(from)
+						f.run(after, rates, f.everywhere(flood))
+						f.cut(to)
+						f.run(5*clock.Second, rates, f.everywhere(flood))
+						f.check("moves")
+					})
+				}
+			}
+		}
+	}
+}
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -42,8 +42,8 @@
 	node  *Node
 	table *limit.Table
 	known peak
-	// metMost says that this process has heard most of the nodes that its settings name at the same time.
-	metMost atomic.Bool
+	// metAll says that this process has heard all of the nodes that its settings name at the same time.
+	metAll atomic.Bool
 	// deals says that this node heard enough others to know its part when last looked.
 	deals atomic.Bool
 
@@ -88,18 +88,18 @@
 		Carriers: len(sharing), Live: live, Known: q.known.see(live, now),
 		Alone: n.peers.lonely() && now-n.duty.since < aloneFor, Young: q.young(), Fresh: started && q.fresh(),
 	}
-	if v.MetMost() {
-		q.metMost.Store(true)
+	if v.MetAll() {
+		q.metAll.Store(true)
 	}
 	return v
 }
 
-// seeds returns how many nodes the settings name, and how many of them are heard, while the process has not met most
-// of them yet. After a while those are taken for gone.
+// seeds returns how many nodes the settings name, and how many of them are heard, while the process has not met all of
+// them at once yet. After a while those are taken for gone.
 func (q *quotas) seeds() (named, met int) {
 	n := q.node
 	seeds := slices.Compact(slices.Sorted(slices.Values(n.settings().Fleet.Seeds)))
-	if q.metMost.Load() || n.clock.Now()-n.duty.since >= aloneFor {
+	if q.metAll.Load() || n.clock.Now()-n.duty.since >= aloneFor {
 		return 0, 0
 	}
 	heard := map[string]bool{n.settings().Node.PeersAddress(): true}
