A node cut off from its hall asks the store soon after it is back; a slow state is read once

Cause: the pause after a refusal was drawn for the hall as it was and slept through. Now the pause is looked at again at each step (Hall.Admits), goes by the hall that is heard, ends for all kinds of records with one answer, and refusals that come together count once. A deaf node tells its hall that it asks before it does. Taken back: one more read after a state that took 0.4 s to come.

--- a/node/duty.go
+++ b/node/duty.go
@@ -37,9 +37,8 @@
 	dutyCheck clock.Millis = 50
 	// settle is how long a change of targets waits for others to come with it.
 	settle clock.Millis = 150
-	// rereadAfter is how old the last word of the store must be for a node that was turned away, or that was busy reading
-	// a state, to read the newest one alone. It may have missed several, and following them brings each of them over its
-	// link.
+	// rereadAfter is how old the last word of the store must be for a node that was turned away to read the newest state
+	// alone. It may have missed several, and following them brings each of them over its link.
 	rereadAfter clock.Millis = 400
 	// never stands for an age of what never was.
 	never = -1
@@ -70,8 +69,7 @@
 	weighed uint64
 	// place is this node's among them while none is turned away; -1 if it is not worked out.
 	place int
-	// missing says that versions of the state may have passed this node by: the store turned it away, or it read a large
-	// one for long.
+	// missing says that versions of the state may have passed this node by, since the store turned it away.
 	missing bool
 	// gap says that the store has forgotten the changes after the state that this node holds.
 	gap bool
@@ -129,12 +127,14 @@
 	return place
 }
 
-// wanted says whether this node should ask the store for the kind now.
+// wanted says whether this node should ask the store for the kind now, and counts the question if so.
 func (d *duty) wanted(k store.Kind) bool {
+	return !d.node.leaving.started() && d.due(k) && d.hall.Admits()
+}
+
+// due says whether word of the kind is due.
+func (d *duty) due(k store.Kind) bool {
 	now := d.node.clock.Now()
-	if d.node.leaving.started() {
-		return false
-	}
 	if k == store.Suspects && d.hall.Deaf() {
 		return false // whether the store answers again shows by the other kinds
 	}
@@ -175,6 +175,9 @@
 			pause(ctx, dutyCheck)
 			continue
 		}
+		if d.hall.Deaf() {
+			d.confirm() // the hall hears that this node asks
+		}
 		next, at, err := d.ask(ctx, k, d.mark(k))
 		switch {
 		case err == nil:
@@ -183,7 +186,7 @@
 			d.forgetMark(k)
 			d.node.log.WithFields(logrus.Fields{"event": "store_gap", "kind": k}).Warn()
 		default:
-			pause(ctx, d.lost(k, err))
+			d.lost(k, err)
 		}
 	}
 }
@@ -261,11 +264,14 @@
 	if err == nil && r.Clock > 0 {
 		d.proof.Answered(sent, at, r.Clock, k == store.State && n.records.readable())
 	}
+	if err != nil {
+		return r.Mark, at, err
+	}
 	if len(r.Records) > 0 {
 		at = r.Records[0].At
 	}
-	if err != nil || len(news) == 0 {
-		return r.Mark, at, err
+	if len(news) == 0 {
+		return r.Mark, at, nil
 	}
 	d.spread(k, news)
 	pause(ctx, settle)
@@ -304,11 +310,8 @@
 	d.mu.Lock()
 	d.marks[k] = max(d.marks[k], m)
 	d.gap = d.gap && k != store.State
-	now := d.node.clock.Now()
-	d.confirmed[k], d.asked[k] = max(d.confirmed[k], at), now
-	if k == store.State {
-		d.missing = now-at >= rereadAfter
-	}
+	d.confirmed[k], d.asked[k] = max(d.confirmed[k], at), d.node.clock.Now()
+	d.missing = d.missing && k != store.State
 	d.mu.Unlock()
 	if d.hall.Answered() {
 		d.node.metrics.storeAway(false)
@@ -317,8 +320,8 @@
 	d.confirm()
 }
 
-// lost notes that the store did not answer this node, and returns how long to wait.
-func (d *duty) lost(k store.Kind, err error) clock.Millis {
+// lost notes that the store did not answer this node.
+func (d *duty) lost(k store.Kind, err error) {
 	wait, first := d.hall.TurnedAway()
 	d.mu.Lock()
 	d.missing = true
@@ -332,5 +335,4 @@
 		line.WithField("event", "store_still_lost").Info()
 	}
 	d.confirm()
-	return wait
 }
--- a/node/large_state_test.go
+++ b/node/large_state_test.go
@@ -170,6 +170,24 @@
 	}
 }
 
+// TestSlowReadIsNotRepeated changes a state that takes a node's link long to carry. The node follows the changes from there:
+// where it read the newest one again, a change that came right after waited for that.
+func TestSlowReadIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	f := newFleetOnLinks(t, 1, 200_000)
+	f.target("i-1", "desk")
+	f.calm(3)
+	f.ready(3, 1)
+	f.eventually("the node follows the store", func() bool { return f.nodes[0].door.Usage().Feeds > 1 })
+	f.grown(4, 500, false)
+	f.eventually("the large state is in force", func() bool { return inForce(f.nodes[0], 4) })
+	before := f.nodes[0].door.Usage().Reads
+	f.grown(5, 500, true)
+	f.eventually("the change is in force", func() bool { return inForce(f.nodes[0], 5) })
+	time.Sleep(2 * time.Second)
+	is.Equal(f.nodes[0].door.Usage().Reads, before)
+}
+
 // TestGrowingStateReachesAllInTime lets the state grow four times, each time with a second change right after
 // it, while targets come and go. Each must be in force on all nodes within 2.5 s of the store's word.
 func TestGrowingStateReachesAllInTime(t *testing.T) {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -34,12 +34,18 @@
 	searchStep clock.Millis = 100
 	// deafFor is how long a node that was turned away is passed over.
 	deafFor = 3 * clock.Second
-	// pauseFirst and pauseMost bound the pause of a node after calls that failed, by the calls; pausePerDeaf has a
-	// hall of any size make four calls a second, and pauseLongest bounds that.
+	// pauseFirst and pauseMost bound the pause of a node after questions that failed, by their number; pausePerDeaf has
+	// a hall of any size make four calls a second, and pauseLongest bounds that.
 	pauseFirst   clock.Millis = 150
-	pauseMost    clock.Millis = 1500
+	pauseMost                 = 1 * clock.Second
 	pausePerDeaf clock.Millis = 250
 	pauseLongest              = 6 * clock.Second
+	// spreadLeast and spreadMost are by how much chance shortens or lengthens a pause: of many nodes that were turned away
+	// at the same moment some ask soon, and the others hear of it.
+	spreadLeast, spreadMost = 0.1, 1.9
+	// oneAtATime is how long a question of a node that was turned away keeps its others back. One that the store
+	// leaves without an answer, or answers at length, holds them up no longer.
+	oneAtATime clock.Millis = 300
 	// watchDuty names the duty to watch the store.
 	watchDuty = "watch"
 	// evenWeight gives all candidates the same chance.
@@ -58,8 +64,11 @@
 	lastDeaf, heardAt clock.Millis
 	// reachedAt is when the store last answered this node.
 	reachedAt clock.Millis
-	// pause is the last one after a call that failed.
-	pause clock.Millis
+	// pause is the one after the last question that failed, by the number of them, and spread what chance makes of it.
+	pause  clock.Millis
+	spread float64
+	// failedAt is when a question last failed, and askedAt when one last went out while the store turned this node away.
+	failedAt, askedAt clock.Millis
 }
 
 // New returns a hall of which only the node itself is known.
@@ -86,22 +95,50 @@
 	defer h.mu.Unlock()
 	_, regained = h.deafAt[h.self]
 	delete(h.deafAt, h.self)
-	h.reachedAt, h.pause = h.clock.Now(), 0
+	h.reachedAt, h.pause, h.failedAt, h.askedAt = h.clock.Now(), 0, 0, 0
 	return regained
 }
 
-// TurnedAway notes that the store did not answer this node. It returns how long to wait until the next call, and
-// whether the call before it was answered.
+// TurnedAway notes that the store did not answer this node. It returns how long this node waits until its next question,
+// as its hall is now, and whether the question before it was answered.
 func (h *Hall) TurnedAway() (pause clock.Millis, first bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
 	_, again := h.deafAt[h.self]
 	h.deafAt[h.self], h.lastDeaf = now, now
-	h.pause = min(max(2*h.pause, pauseFirst), pauseMost)
-	byHall := min(clock.Millis(h.deaf(now))*pausePerDeaf, pauseLongest)
-	pause = max(h.pause, byHall)
-	return pause/2 + rand.N(pause), !again
+	if now-h.failedAt >= h.pause/2 { // questions that fail together count once
+		h.pause = min(max(2*h.pause, pauseFirst), pauseMost)
+	}
+	h.failedAt, h.spread = now, spreadLeast+rand.Float64()*(spreadMost-spreadLeast)
+	return h.wait(now), !again
+}
+
+// wait is how long this node waits after a question that failed. A hall of many waits the longer, since the first that is
+// answered tells the others; a node that hears none of them cannot rely on that.
+func (h *Hall) wait(now clock.Millis) clock.Millis {
+	pause := h.pause
+	if now-h.heardAt < lonelyAfter {
+		pause = max(pause, min(clock.Millis(h.deaf(now))*pausePerDeaf, pauseLongest))
+	}
+	return clock.Millis(h.spread * float64(pause))
+}
+
+// Admits says whether a question may go out now, and counts it. A node that was turned away asks again after a pause, and
+// one question at a time: as soon as one is answered, all may go out. It tells the others that it asks: while they hear of
+// that, they wait longer.
+func (h *Hall) Admits() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, deaf := h.deafAt[h.self]; !deaf {
+		return true
+	}
+	now := h.clock.Now()
+	if now < h.failedAt+h.wait(now) || now < h.askedAt+oneAtATime {
+		return false
+	}
+	h.askedAt = now
+	return true
 }
 
 // Deaf says whether the store turned this node away when it last asked.
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -85,11 +85,14 @@
 	if !n.asking {
 		q := watcher.Question{Age: now - n.confirmed, Rank: n.hall.Rank(s.weights), Leads: true}
 		n.next = now + check
-		if !n.hall.Due(q) {
+		if !n.hall.Due(q) || !n.hall.Admits() {
 			return
 		}
 		s.calls++
 		n.asking, n.next = true, now+tick
+		if n.hall.Deaf() {
+			s.tell(n, true)
+		}
 		switch {
 		case s.treat(i) == silent:
 			n.next = now + giveUp
@@ -105,8 +108,8 @@
 		s.tell(n, false)
 		return
 	}
-	wait, _ := n.hall.TurnedAway()
-	n.next = now + wait
+	n.hall.TurnedAway()
+	n.next = now + check
 	s.tell(n, true)
 }
 
