--- a/node/handon.go
+++ b/node/handon.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/delta"
+	"github.com/tinladder/tinladder/pacer"
 	"github.com/tinladder/tinladder/replica"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
@@ -43,6 +44,7 @@
 // that grows to 5,600 routes for 0.8 s at most (a played day), and for 19.5 s if states go whole to all that ask.
 type handOn struct {
 	clock clock.Clock
+	link  *pacer.Pacer
 	// bytesPerMilli is what records may take of the link.
 	bytesPerMilli float64
 
@@ -53,12 +55,10 @@
 	packs map[uint64]*tlv1.Record
 	// served are the nodes that were given the newest one.
 	served []string
-	// taken is until when the share of the link is promised.
-	taken float64
 }
 
 func newHandOn(c clock.Clock, linkMbps float64) *handOn {
-	return &handOn{clock: c, bytesPerMilli: linkMbps * bytesPerMilliMbps * handOnShare, packs: map[uint64]*tlv1.Record{}}
+	return &handOn{clock: c, link: pacer.New(c, handOnAhead), bytesPerMilli: linkMbps * bytesPerMilliMbps * handOnShare, packs: map[uint64]*tlv1.Record{}}
 }
 
 // bytesPerMilliMbps is how many bytes a link of 1 Mbit/s carries in a millisecond.
@@ -151,13 +151,12 @@
 func (h *handOn) admit(address string, bytes int) (admitted bool, holders []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := float64(h.clock.Now())
-	if h.taken-now > float64(handOnAhead) {
+	if !h.link.Admits() {
 		holders = slices.Clone(h.served)
 		rand.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
 		return false, holders[:min(len(holders), holdersTold)]
 	}
-	h.taken = max(h.taken, now) + float64(bytes)/h.bytesPerMilli
+	h.link.Charge(float64(bytes) / h.bytesPerMilli)
 	if address != "" && !slices.Contains(h.served, address) && len(h.served) < servedKept {
 		h.served = append(h.served, address)
 	}
