--- a/node/account.go
+++ b/node/account.go
@@ -56,7 +56,7 @@
 		f["error"] = e.err
 	}
 	if e.outcome == pool.Silent {
-		f["door"], f["print"] = e.door, x.printed()[quarantine.ByRequest]
+		f["door"], f["print"] = e.door, x.fingerprints()[quarantine.ScopeRequest]
 	}
 	if l.Next != "" {
 		f["next"], f["next_failing"] = l.Next, fmt.Sprintf("%.2f", l.NextFailing)
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -60,8 +60,8 @@
 	// head is the first part of a body that is streamed.
 	head []byte
 	// space is the workspace, and on the fleet's own interface the service, that the request names by its key or token.
-	space  string
-	prints printsOnce
+	space         string
+	fingerprinted fingerprintsOnce
 	// used is the attempt whose answer is passed on.
 	used *pool.Lease
 	// verdict is how the quarantine has it treated.
--- a/node/print.go
+++ b/node/fingerprint.go
@@ -8,25 +8,25 @@
 	"github.com/tinladder/tinladder/quarantine"
 )
 
-// printsOnce are a request's prints, made when they are first asked for: attempts that run beside each other may ask.
-type printsOnce struct {
-	once   sync.Once
-	prints quarantine.Prints
+// fingerprintsOnce are a request's fingerprints, made when they are first asked for: attempts that run beside each other may ask.
+type fingerprintsOnce struct {
+	once sync.Once
+	made quarantine.Fingerprints
 }
 
-// printed returns the request's prints. Its body must have been read.
-func (x *exchange) printed() *quarantine.Prints {
-	x.prints.once.Do(func() {
+// fingerprints returns the request's fingerprints. Its body must have been read.
+func (x *exchange) fingerprints() *quarantine.Fingerprints {
+	x.fingerprinted.once.Do(func() {
 		body := x.body
 		if x.stream != nil {
 			body = x.head
 		}
-		x.prints.prints = quarantine.PrintsOf(&quarantine.Request{
+		x.fingerprinted.made = quarantine.FingerprintsOf(&quarantine.Request{
 			Caller: callerOf(x.r), Workspace: x.space, Method: x.r.Method, Target: x.r.RequestURI, Body: body, Length: x.r.ContentLength,
 			Host: x.route.Host, // not as it was sent: where the host is a node's own, the next node has another one
 		})
 	})
-	return &x.prints.prints
+	return &x.fingerprinted.made
 }
 
 // callerOf returns the address of whoever sent the request to the fleet.
--- a/node/heldback.go
+++ b/node/heldback.go
@@ -22,14 +22,14 @@
 // sole says whether the request may go to one target only: a trial, or one under which several have crashed.
 func (x *exchange) sole() bool {
 	v, _ := x.node.suspects.decide(x)
-	return x.verdict.Held || v.Sole()
+	return x.verdict.Held || v.SingleAttempt()
 }
 
 // heldMeanwhile refuses a request that is held back since it began, while it waited or by an attempt of its own. One that
 // was let through for a trial goes on, and one that was lost with targets that may have ended of something else.
 func (x *exchange) heldMeanwhile(l *pool.Lease, t ticket) bool {
 	v, p := x.node.suspects.decide(x)
-	if x.verdict.Held || !v.Held || x.ran > 0 && !v.Sole() {
+	if x.verdict.Held || !v.Held || x.ran > 0 && !v.SingleAttempt() {
 		return false
 	}
 	l.Done(pool.Abandoned, false)
--- a/node/lift.go
+++ b/node/lift.go
@@ -24,10 +24,10 @@
 		if !op.may(workspaceIn(c.Service)) {
 			continue
 		}
-		_, since, _ := s.node.suspects.list.Known(c.Print)
+		_, since, _ := s.node.suspects.list.Known(c.Fingerprint)
 		q := &tlv1.Quarantined{
-			Print: c.Print.String(), Service: c.Service, What: c.What, Held: c.Held(), Trials: uint32(c.Trials), KnownBy: c.Breadth.String(),
-			AgeMs: int64(now - since), TrialMs: int64(s.node.suspects.list.Decide(c.Print).RetryAfter),
+			Print: c.Fingerprint.String(), Service: c.Service, What: c.What, Held: c.Held(), Trials: uint32(c.Trials), KnownBy: c.Scope.String(),
+			AgeMs: int64(now - since), TrialMs: int64(s.node.suspects.list.Decide(c.Fingerprint).RetryAfter),
 		}
 		for _, x := range c.Crashes {
 			q.Targets = append(q.Targets, string(x.Target))
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := quarantine.ParsePrint(req.Msg.GetPrint())
+	p, err := quarantine.ParseFingerprint(req.Msg.GetPrint())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
@@ -58,8 +58,8 @@
 	stored := true
 	for _, like := range n.suspects.list.All() {
 		if like.What == c.What && like.Service == c.Service { // what it is known by besides
-			n.suspects.clear(like.Print, op.name)
-			err := n.suspects.save(ctx, like.Print, 0)
+			n.suspects.clear(like.Fingerprint, op.name)
+			err := n.suspects.save(ctx, like.Fingerprint, 0)
 			stored = stored && err == nil
 		}
 	}
--- a/node/problem.go
+++ b/node/problem.go
@@ -34,8 +34,8 @@
 	// workspace is in whose name the request came, and limit what it may ask by the second, for the log.
 	workspace ident.Workspace
 	limit     float64
-	// print names a request that is held back, for the log.
-	print string
+	// fingerprint names a request that is held back, for the log.
+	fingerprint string
 	// fractions says that the caller reads fractions of seconds.
 	fractions bool
 }
--- a/node/suspect_rows.go
+++ b/node/suspect_rows.go
@@ -38,20 +38,20 @@
 			continue
 		}
 		for p, change := range s.list.Take(x.Key, row) {
-			if change == quarantine.Nothing {
+			if change == quarantine.Unchanged {
 				continue
 			}
-			s.tell(change, p, from)
-			if change == quarantine.Held {
-				s.want(p) // by what was seen here besides: the store has to know all of it
+			s.logChange(change, p, from)
+			if change == quarantine.Quarantined {
+				s.markDirty(p) // by what was seen here besides: the store has to know all of it
 			}
 		}
 	}
 }
 
-// claimAll says whether the request may be tried here and now, by each of its prints that is held back.
+// claimAll says whether the request may be tried here and now, by each of its fingerprints that is quarantined.
 func (s *suspects) claimAll(ctx context.Context, x *exchange) bool {
-	for _, p := range x.printed() {
+	for _, p := range x.fingerprints() {
 		if v := s.list.Decide(p); v.Held && !s.claim(ctx, p, v.Trials+1) {
 			return false
 		}
@@ -59,9 +59,9 @@
 	return true
 }
 
-// claim says whether a request of the print may be tried here and now. Of all nodes one may, which the store decides; while
+// claim says whether a request of the fingerprint may be tried here and now. Of all nodes one may, which the store decides; while
 // that is away, the one that is first for it among those that this node hears.
-func (s *suspects) claim(ctx context.Context, p quarantine.Print, trials int) bool {
+func (s *suspects) claim(ctx context.Context, p quarantine.Fingerprint, trials int) bool {
 	if !s.list.Tried(p, trials) {
 		return false
 	}
@@ -75,7 +75,7 @@
 }
 
 // first says whether this node is first for trials of the request, of those that it hears.
-func (s *suspects) first(p quarantine.Print) bool {
+func (s *suspects) first(p quarantine.Fingerprint) bool {
 	n := s.node
 	list := []assign.Candidate{{Node: n.self.Node, Weight: evenWeight}}
 	for _, m := range n.members.Live() {
@@ -89,8 +89,8 @@
 
 // save writes what is known here of the request to its row. It fails with errTaken if it is for a trial, trials being its
 // number, that the row names already.
-func (s *suspects) save(ctx context.Context, p quarantine.Print, trials int) (err error) {
-	defer func() { err = errors.Wrapf(err, "save what is held against request %s", p) }()
+func (s *suspects) save(ctx context.Context, p quarantine.Fingerprint, trials int) (err error) {
+	defer func() { err = errors.Wrapf(err, "save crash reports of request %s", p) }()
 	key := quarantine.RowOf(p)
 	held, _ := s.node.records.sets[store.Suspects].Get(key)
 	row := store.Row{Key: key, Value: held.Value, Version: held.Version}
@@ -121,7 +121,7 @@
 	return errors.Wrap(store.ErrAway, "the row is too busy")
 }
 
-// write has the store know what this node is to tell it, until the context ends.
+// write writes dirty requests to the store, until the context ends.
 func (s *suspects) write(ctx context.Context) {
 	for {
 		select {
@@ -129,7 +129,7 @@
 			return
 		case <-s.wake:
 		}
-		for list := s.list.Wanting(); len(list) > 0; list = s.list.Wanting() {
+		for list := s.list.Dirty(); len(list) > 0; list = s.list.Dirty() {
 			wait := rand.N(rowPause)
 			if !s.writeAll(ctx, list) {
 				wait += awayPause
@@ -142,7 +142,7 @@
 }
 
 // writeAll writes the rows of the requests, and says whether the store took them all.
-func (s *suspects) writeAll(ctx context.Context, list []quarantine.Print) bool {
+func (s *suspects) writeAll(ctx context.Context, list []quarantine.Fingerprint) bool {
 	for _, p := range list {
 		one, cancel := context.WithTimeout(ctx, lookTimeout.Duration())
 		err := s.save(one, p, 0)
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -42,13 +42,13 @@
 	return v, s.problem(p)
 }
 
-// decide says how the request is to be treated: by the print with the most against it, which it returns.
-func (s *suspects) decide(x *exchange) (worst quarantine.Verdict, by quarantine.Print) {
+// decide says how the request is to be treated: by the fingerprint that restricts it most, which it returns.
+func (s *suspects) decide(x *exchange) (worst quarantine.Verdict, by quarantine.Fingerprint) {
 	if s.list.Empty() {
 		return worst, by
 	}
-	for _, p := range x.printed() {
-		if v := s.list.Decide(p); v.Worse(worst) {
+	for _, p := range x.fingerprints() {
+		if v := s.list.Decide(p); v.StricterThan(worst) {
 			worst, by = v, p
 		}
 	}
@@ -56,33 +56,33 @@
 }
 
 // problem says to the caller that the request is held back, and until when.
-func (s *suspects) problem(p quarantine.Print) *Problem {
+func (s *suspects) problem(p quarantine.Fingerprint) *Problem {
 	v := s.list.Decide(p)
 	return &Problem{
-		Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: max(v.RetryAfter, retryPause), print: p.String(),
+		Status: http.StatusServiceUnavailable, Outcome: NotRun, RetryAfter: max(v.RetryAfter, retryPause), fingerprint: p.String(),
 		Detail: fmt.Sprintf("the request is held back: %d targets crashed that ran it", v.Crashes),
 	}
 }
 
 // crashed takes in that the target's process ended while it ran the request, which was sent to it at the time.
 func (s *suspects) crashed(x *exchange, target ident.Target, from clock.Millis) {
-	var news []quarantine.Case
-	for b, p := range x.printed() {
+	var updates []quarantine.Case
+	for b, p := range x.fingerprints() {
 		c := quarantine.Case{
-			Print: p, Breadth: quarantine.Breadth(b), Service: x.service.name, What: whatOf(x.r),
+			Fingerprint: p, Scope: quarantine.Scope(b), Service: x.service.name, What: describe(x.r),
 			Crashes: []quarantine.Crash{{Target: target, From: from, At: s.node.clock.Now()}},
 		}
 		change := s.list.Crashed(c)
-		if change == quarantine.Nothing {
+		if change == quarantine.Unchanged {
 			continue
 		}
-		c = s.tell(change, p, "seen")
-		news = append(news, c)
-		if len(c.Crashes) >= quarantine.Alone || len(s.node.members.Live()) == 0 {
-			s.want(p)
+		c = s.logChange(change, p, "seen")
+		updates = append(updates, c)
+		if c.Recurring() || len(s.node.members.Live()) == 0 {
+			s.markDirty(p)
 		}
 	}
-	s.spread(x.service, news)
+	s.spread(x.service, updates)
 }
 
 // audience returns the nodes that hear of a request: of one crash, which may be chance, those that use the service; of
@@ -94,12 +94,12 @@
 	return s.node.services.withUsers(svc, s.node.carriers.all(svc.name))
 }
 
-// spread tells other nodes what is known of a request by each of its prints.
-func (s *suspects) spread(svc *service, news []quarantine.Case) {
+// spread tells other nodes what is known of a request by each of its fingerprints.
+func (s *suspects) spread(svc *service, updates []quarantine.Case) {
 	m := &tlv1.Suspects{}
 	wide := false
-	for i, c := range news {
-		wide = wide || len(c.Crashes) >= quarantine.Alone
+	for i, c := range updates {
+		wide = wide || c.Recurring()
 		if i > 0 {
 			c.Service, c.What = "", ""
 		}
@@ -108,8 +108,8 @@
 	s.send(m, s.audience(svc, wide))
 }
 
-// whatOf names a request for operators, without its query: that may hold what is nobody's to read.
-func whatOf(r *http.Request) string {
+// describe names a request for operators, without its query: that may hold what is nobody's to read.
+func describe(r *http.Request) string {
 	what := r.Method + " " + r.Host + r.URL.EscapedPath()
 	return what[:min(len(what), whatBytes)]
 }
@@ -121,34 +121,34 @@
 	}
 	m := &tlv1.Suspects{}
 	wide := false
-	for _, p := range x.printed() {
+	for _, p := range x.fingerprints() {
 		if was, found := s.lift(p, "answer"); found {
 			m.Suspects = append(m.Suspects, &tlv1.Suspect{Print: p[:], Cleared: true})
-			wide = wide || len(was.Crashes) >= quarantine.Alone
+			wide = wide || was.Recurring()
 		}
 	}
 	s.send(m, s.audience(x.service, wide))
 }
 
-// lift takes back what is held against the request here, and has the store do so. It says whether there was anything.
-func (s *suspects) lift(p quarantine.Print, by string) (was quarantine.Case, found bool) {
+// lift drops the crash reports of the request here, and has them dropped in the store. It says whether there were any.
+func (s *suspects) lift(p quarantine.Fingerprint, by string) (was quarantine.Case, found bool) {
 	if was, found = s.list.Clear(p); found {
-		s.tellLifted(was, by)
-		s.want(p)
+		s.logLifted(was, by)
+		s.markDirty(p)
 	}
 	return was, found
 }
 
 // clear does the same, and tells the other nodes.
-func (s *suspects) clear(p quarantine.Print, by string) {
+func (s *suspects) clear(p quarantine.Fingerprint, by string) {
 	if _, found := s.lift(p, by); found {
 		s.send(&tlv1.Suspects{Suspects: []*tlv1.Suspect{{Print: p[:], Cleared: true}}}, s.node.members.Live())
 	}
 }
 
-// want has the store told of the request.
-func (s *suspects) want(p quarantine.Print) {
-	if !s.list.Want(p) {
+// markDirty has the request written to the store.
+func (s *suspects) markDirty(p quarantine.Fingerprint) {
+	if !s.list.MarkDirty(p) {
 		return
 	}
 	select {
@@ -166,7 +166,7 @@
 	n.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Suspects{Suspects: m}}, to...)
 }
 
-// hear takes in another node's word.
+// hear takes in the reports of another node.
 func (s *suspects) hear(m *tlv1.Suspects) {
 	for _, one := range m.GetSuspects() {
 		c, ok := quarantine.FromWire(one, s.node.clock.Now())
@@ -174,15 +174,15 @@
 			continue
 		}
 		if one.GetCleared() {
-			if was, found := s.list.Clear(c.Print); found {
-				s.tellLifted(was, "peer")
+			if was, found := s.list.Clear(c.Fingerprint); found {
+				s.logLifted(was, "peer")
 			}
 			continue
 		}
 		first := m.GetSuspects()[0]
 		c.Service, c.What = first.GetService(), first.GetWhat()
-		if change := s.list.Crashed(c); change != quarantine.Nothing {
-			s.tell(change, c.Print, "peer")
+		if change := s.list.Crashed(c); change != quarantine.Unchanged {
+			s.logChange(change, c.Fingerprint, "peer")
 		}
 	}
 }
@@ -192,23 +192,23 @@
 	s.list.Forget()
 }
 
-// tell tells the log and the night's report what changed, and returns what is known.
-func (s *suspects) tell(change quarantine.Change, p quarantine.Print, by string) quarantine.Case {
+// logChange writes what changed to the log and the night's report, and returns what is known.
+func (s *suspects) logChange(change quarantine.Change, p quarantine.Fingerprint, by string) quarantine.Case {
 	c, _, _ := s.list.Known(p)
 	s.node.metrics.crashed(change)
 	s.node.log.WithFields(logrus.Fields{
-		"event": "request_" + change.String(), "print": p, "known_by": c.Breadth, "service": c.Service, "what": c.What, "crashes": len(c.Crashes),
+		"event": "request_" + change.String(), "print": p, "known_by": c.Scope, "service": c.Service, "what": c.What, "crashes": len(c.Crashes),
 		"targets": targetsOf(c), "trials": c.Trials, "by": by,
 	}).Warn()
-	if change == quarantine.Held && by == "seen" {
+	if change == quarantine.Quarantined && by == "seen" {
 		s.node.events.add(&tlv1.Event{Kind: tlv1.EventKind_EVENT_KIND_REQUEST_HELD, Workspace: workspaceIn(c.Service), Service: nameIn(c.Service), Reason: c.What + " crashed " + targetsOf(c)})
 	}
 	return c
 }
 
-func (s *suspects) tellLifted(was quarantine.Case, by string) {
+func (s *suspects) logLifted(was quarantine.Case, by string) {
 	s.node.log.WithFields(logrus.Fields{
-		"event": "request_lifted", "print": was.Print, "known_by": was.Breadth, "service": was.Service, "what": was.What, "crashes": len(was.Crashes),
+		"event": "request_lifted", "print": was.Fingerprint, "known_by": was.Scope, "service": was.Service, "what": was.What, "crashes": len(was.Crashes),
 		"held": was.Held(), "trials": was.Trials, "by": by,
 	}).Warn()
 }
--- a/quarantine/print_test.go
+++ b/quarantine/fingerprint_test.go
@@ -11,11 +11,11 @@
 	Caller: "10.0.0.1", Workspace: "shop", Method: "GET", Host: "example", Target: "/a/b?c", Body: []byte("body"), Length: 4,
 }
 
-// TestPrintsTellRequestsApart changes one thing at a time, and moves bytes from one field to the next. Each change is told
-// by the prints that are no wider than it.
-func TestPrintsTellRequestsApart(t *testing.T) {
+// TestFingerprintsTellRequestsApart changes one thing at a time, and moves bytes from one field to the next. Each change is told
+// by the fingerprints whose scope is no wider than it.
+func TestFingerprintsTellRequestsApart(t *testing.T) {
 	is := is.New(t)
-	was := quarantine.PrintsOf(&page)
+	was := quarantine.FingerprintsOf(&page)
 	for name, c := range map[string]struct {
 		change func(r *quarantine.Request)
 		told   int
@@ -35,39 +35,39 @@
 			is := is.New(t)
 			r := page
 			c.change(&r)
-			for b, p := range quarantine.PrintsOf(&r) {
+			for b, p := range quarantine.FingerprintsOf(&r) {
 				is.Equal(p != was[b], b < c.told)
 			}
 		})
 	}
-	is.True(was[quarantine.ByCaller] != was[quarantine.ByRequest])
+	is.True(was[quarantine.ScopeCaller] != was[quarantine.ScopeRequest])
 	page := page
 	page.Target = "/a/b"
-	was = quarantine.PrintsOf(&page)
-	is.True(was[quarantine.ByRequest] != was[quarantine.ByPath]) // though there is no query
+	was = quarantine.FingerprintsOf(&page)
+	is.True(was[quarantine.ScopeRequest] != was[quarantine.ScopePath]) // though there is no query
 }
 
 func TestPrintIsParsed(t *testing.T) {
 	is := is.New(t)
-	p := quarantine.PrintsOf(&page)[0]
-	again, err := quarantine.ParsePrint(p.String())
+	p := quarantine.FingerprintsOf(&page)[0]
+	again, err := quarantine.ParseFingerprint(p.String())
 	is.NoErr(err)
 	is.Equal(again, p)
 	for _, s := range []string{"", "00", p.String() + "00", "zz" + p.String()[2:]} {
-		_, err := quarantine.ParsePrint(s)
+		_, err := quarantine.ParseFingerprint(s)
 		is.True(err != nil)
 	}
 }
 
 func TestPrintNeedsNoMemory(t *testing.T) {
 	is := is.New(t)
-	is.Equal(testing.AllocsPerRun(100, func() { _ = quarantine.PrintsOf(&page) }), 0.0)
+	is.Equal(testing.AllocsPerRun(100, func() { _ = quarantine.FingerprintsOf(&page) }), 0.0)
 }
 
-// BenchmarkPrints is what a request costs while any request is under suspicion; while none is, no prints are made.
-func BenchmarkPrints(b *testing.B) {
+// BenchmarkFingerprints is what a request costs while any request is under suspicion; while none is, none are made.
+func BenchmarkFingerprints(b *testing.B) {
 	b.ReportAllocs()
 	for b.Loop() {
-		_ = quarantine.PrintsOf(&page)
+		_ = quarantine.FingerprintsOf(&page)
 	}
 }
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -127,12 +127,12 @@
 		for key, r := range f.rows {
 			if n.seen[key] < r.version && now-r.at >= followTakes {
 				n.seen[key] = r.version
-				if n.list.Take(key, r.row)[pagePrint] == quarantine.Held {
-					n.list.Want(pagePrint)
+				if n.list.Take(key, r.row)[pagePrint] == quarantine.Quarantined {
+					n.list.MarkDirty(pagePrint)
 				}
 			}
 		}
-		for range n.list.Wanting() {
+		for range n.list.Dirty() {
 			f.save(n)
 		}
 	}
@@ -158,18 +158,18 @@
 			other.list.Crashed(c)
 		}
 	}
-	if len(known.Crashes) >= quarantine.Alone || alone {
-		n.list.Want(pagePrint)
+	if known.Recurring() || alone {
+		n.list.MarkDirty(pagePrint)
 	}
 }
 
 // late counts the sends that came too late.
 func (f *modelFleet) late() (count int) {
-	if len(f.crashes) < quarantine.Enough {
+	if len(f.crashes) < crashThreshold {
 		return 0
 	}
 	for _, at := range f.sends {
-		if at-f.crashes[quarantine.Enough-1] > heardWithin {
+		if at-f.crashes[crashThreshold-1] > heardWithin {
 			count++
 		}
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -12,25 +12,25 @@
 )
 
 const (
-	// Enough crashes, of as many targets, hold a request back. One or two may be chance.
-	Enough = 3
-	// Alone is from how many crashes in a row on a request goes to one target only, without a second attempt: of those that were
-	// aboard by chance as one target crashed, nearly all are not aboard a second time.
-	Alone = 2
+	// crashThreshold crashes of as many targets quarantine a request. One or two may be chance.
+	crashThreshold = 3
+	// singleAttemptThreshold is from how many sequential crashes on a request gets a single attempt: of those that were in
+	// flight by chance as one target crashed, nearly all are not in flight a second time.
+	singleAttemptThreshold = 2
 	// forgetAfter is how long crashes are remembered that were not enough: a request that comes more seldom ends few
 	// targets.
 	forgetAfter = 10 * clock.Minute
-	// clearedFor is how long it is remembered that a request was cleared, so that older word of crashes is known as such.
+	// clearedFor is how long it is remembered that a request was cleared, so that older reports of crashes are known as such.
 	clearedFor = 1 * clock.Minute
 	// maxEntries bounds the requests that are remembered, and maxCrashes the targets named with each.
 	maxEntries = 4096
 	maxCrashes = 6
-	// sameWithin is how far apart two words of one crash may be: less than a target needs to start again.
+	// sameWithin is how far apart two reports of one crash may be: less than a target needs to start again.
 	sameWithin clock.Millis = 400
 )
 
 // trialWaits are the times until a request that is held back is let through once more, by how often it was. The first is
-// short: a request that was aboard by chance as many targets ended at once is free again before its caller gives up. The
+// short: a request that was in flight by chance as many targets ended at once is free again before its caller gives up. The
 // others grow, for a request that still crashes its target each time; a new version of the target may cure it.
 var trialWaits = [...]clock.Millis{2 * clock.Second, 20 * clock.Second, 2 * clock.Minute, 20 * clock.Minute, 60 * clock.Minute}
 
@@ -39,24 +39,24 @@
 	Target ident.Target
 	// From is when the request was sent to it, and At when it crashed.
 	From, At clock.Millis
-	// Loose says that At is just when it was learned of, no earlier than it was.
-	Loose bool
+	// AtIsUpperBound says that At is when the crash was reported: it was no later than that.
+	AtIsUpperBound bool
 }
 
-// same says whether another word of a crash may be of this one: several requests are lost by it, and several nodes see it.
+// same says whether two reports may be of one crash: several requests are lost by it, and several nodes see it.
 func (c Crash) same(x Crash) bool {
 	if c.Target != x.Target {
 		return false
 	}
 	apart := x.At - c.At
-	return max(apart, -apart) < sameWithin || c.Loose && apart <= 0 || x.Loose && apart >= 0
+	return max(apart, -apart) < sameWithin || c.AtIsUpperBound && apart <= 0 || x.AtIsUpperBound && apart >= 0
 }
 
 // A Case struct is all that is known of one request under which targets crashed.
 type Case struct {
-	Print Print
-	// Breadth is how much of the request the print tells apart.
-	Breadth Breadth
+	Fingerprint Fingerprint
+	// Scope is how much of the request the fingerprint covers.
+	Scope Scope
 	// Service and What name it for operators.
 	Service, What string
 	Crashes       []Crash
@@ -66,15 +66,20 @@
 
 // Held says whether the request is held back.
 func (c *Case) Held() bool {
-	return len(c.Crashes) >= Enough
+	return len(c.Crashes) >= crashThreshold
 }
 
-// inARow counts crashes of which each target had the request only after the one before had crashed. Many may send the
-// request, and many targets end at once of something else while they have it: such crashes are no more than one in a row.
-func (c *Case) inARow() (count int) {
+// Recurring says whether so many crashed that it is hardly chance.
+func (c *Case) Recurring() bool {
+	return len(c.Crashes) >= singleAttemptThreshold
+}
+
+// sequentialCrashes counts crashes of which each target had the request only after the one before had crashed. Crashes of
+// overlapping attempts count once: a shared cause, such as a hall's power, ends many targets at a time.
+func (c *Case) sequentialCrashes() (count int) {
 	var timed []Crash
 	for _, x := range c.Crashes {
-		if x.Loose {
+		if x.AtIsUpperBound {
 			count++
 			continue
 		}
@@ -93,9 +98,9 @@
 
 // A Verdict struct is how a request is to be treated.
 type Verdict struct {
-	// Crashes counts the targets that crashed under it, and InARow those of them that crashed one after the other. With
-	// none, it is like any other.
-	Crashes, InARow int
+	// Crashes counts the targets that crashed under the request, and SequentialCrashes those that crashed one after the
+	// other. With none, it is like any other.
+	Crashes, SequentialCrashes int
 	// Held requests are not sent, unless a trial is Due.
 	Held, Due bool
 	// RetryAfter is when the next trial is due.
@@ -103,35 +108,35 @@
 	Trials     int
 }
 
-// Worse says whether there is more against a request by this verdict than by the other.
-func (v Verdict) Worse(than Verdict) bool {
+// StricterThan says whether a request is restricted more by this verdict than by the other.
+func (v Verdict) StricterThan(than Verdict) bool {
 	if v.Held != than.Held {
 		return v.Held
 	}
 	return cmp.Or(cmp.Compare(v.RetryAfter, than.RetryAfter), cmp.Compare(v.Crashes, than.Crashes)) > 0
 }
 
-// Sole says whether the request goes to one target only.
-func (v Verdict) Sole() bool {
-	return v.InARow >= Alone
+// SingleAttempt says whether the request is sent to one target only.
+func (v Verdict) SingleAttempt() bool {
+	return v.SequentialCrashes >= singleAttemptThreshold
 }
 
-// A Change says what word of a crash changed.
+// A Change says what the report of a crash changed.
 type Change int
 
 // Changes.
 const (
-	// Nothing is new.
-	Nothing Change = iota
-	// Suspected requests have one crash more, and are not held back.
+	// Unchanged reports were known.
+	Unchanged Change = iota
+	// Suspected requests have one crash more, and are not quarantined.
 	Suspected
-	// Held requests are held back from now on.
-	Held
-	// Still says that a request that is held back has crashed one more target.
-	Still
+	// Quarantined requests are held back from now on.
+	Quarantined
+	// CrashedAgain requests were quarantined before, and have crashed one more target.
+	CrashedAgain
 )
 
-// String returns the change's name.
+// String returns the change's name in the log.
 func (c Change) String() string {
 	return [...]string{"nothing", "suspected", "held", "still"}[c]
 }
@@ -142,39 +147,39 @@
 	since clock.Millis
 	// clearedAt is when it was last cleared, 0 if never.
 	clearedAt clock.Millis
-	// stored says that the store names it, and want that this node is to have the store know what is known here.
-	stored, want bool
+	// stored says that the store names it, and dirty that this node has to write it to the store.
+	stored, dirty bool
 }
 
 // A List struct holds the requests under which targets crashed, as one node knows them. It is safe for concurrent use.
 type List struct {
 	clock clock.Clock
-	// size is how many entries there are: while there are none, requests need no print.
+	// size is how many entries there are: while there are none, requests need no fingerprint.
 	size atomic.Int32
 
 	mu      sync.Mutex
-	entries map[Print]*entry
+	entries map[Fingerprint]*entry
 }
 
 // New returns an empty list.
 func New(c clock.Clock) *List {
-	return &List{clock: c, entries: map[Print]*entry{}}
+	return &List{clock: c, entries: map[Fingerprint]*entry{}}
 }
 
-// Empty says whether nothing is held against any request.
+// Empty says whether no request has any crash report.
 func (l *List) Empty() bool {
 	return l.size.Load() == 0
 }
 
 // Decide says how a request is to be treated that is about to be sent.
-func (l *List) Decide(p Print) (v Verdict) {
+func (l *List) Decide(p Fingerprint) (v Verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[p]
 	if e == nil {
 		return v
 	}
-	v = Verdict{Crashes: len(e.Crashes), InARow: e.inARow(), Held: e.Held(), Trials: e.Trials}
+	v = Verdict{Crashes: len(e.Crashes), SequentialCrashes: e.sequentialCrashes(), Held: e.Held(), Trials: e.Trials}
 	if v.Held {
 		v.RetryAfter = max(e.since+v.wait()-l.clock.Now(), 0)
 		v.Due = v.RetryAfter == 0
@@ -185,7 +190,7 @@
 // wait is how long a request that is held back is not tried. Where its targets crashed at once, they may have for another
 // reason, and the first trial is due now.
 func (v Verdict) wait() clock.Millis {
-	if v.Trials == 0 && v.InARow < Enough {
+	if v.Trials == 0 && v.SequentialCrashes < crashThreshold {
 		return 0
 	}
 	return trialWaits[min(v.Trials, len(trialWaits)-1)]
@@ -203,23 +208,23 @@
 		e.Trials, e.since = c.Trials, now
 	}
 	if !more {
-		return Nothing
+		return Unchanged
 	}
 	e.since = now
 	switch {
 	case held:
-		return Still
+		return CrashedAgain
 	case e.Held():
-		return Held
+		return Quarantined
 	}
 	return Suspected
 }
 
-// add notes the crashes that are new, and says whether there are any. Two in one word are two, though they be of one target.
+// add notes the crashes that are new, and says whether there are any. Two in one report are two, also of one target.
 func (e *entry) add(list []Crash) (more bool) {
 	known := slices.Clone(e.Crashes)
 	for _, c := range list {
-		if e.clearedAt > 0 && c.At <= e.clearedAt || c.Loose && e.Held() {
+		if e.clearedAt > 0 && c.At <= e.clearedAt || c.AtIsUpperBound && e.Held() {
 			continue
 		}
 		if i := slices.IndexFunc(known, c.same); i >= 0 {
@@ -237,11 +242,11 @@
 
 // entry returns the request's entry, making it if there is none.
 func (l *List) entry(c *Case) *entry {
-	e := l.entries[c.Print]
+	e := l.entries[c.Fingerprint]
 	if e == nil {
 		l.makeRoom()
-		e = &entry{Case: Case{Print: c.Print, Breadth: c.Breadth}}
-		l.entries[c.Print] = e
+		e = &entry{Case: Case{Fingerprint: c.Fingerprint, Scope: c.Scope}}
+		l.entries[c.Fingerprint] = e
 		l.size.Store(int32(len(l.entries)))
 	}
 	e.Service, e.What = cmp.Or(e.Service, c.Service), cmp.Or(e.What, c.What)
@@ -257,7 +262,7 @@
 	least := slices.MinFunc(slices.Collect(maps.Values(l.entries)), func(a, b *entry) int {
 		return cmp.Or(compareBool(a.Held(), b.Held()), cmp.Compare(a.since, b.since))
 	})
-	l.drop(least.Print)
+	l.drop(least.Fingerprint)
 }
 
 func compareBool(a, b bool) int {
@@ -270,14 +275,14 @@
 	return 1
 }
 
-func (l *List) drop(p Print) {
+func (l *List) drop(p Fingerprint) {
 	delete(l.entries, p)
 	l.size.Store(int32(len(l.entries)))
 }
 
 // Tried notes that the request is let through once more. It says whether that is so by what is known here: another node
 // may have let it through just now.
-func (l *List) Tried(p Print, trials int) bool {
+func (l *List) Tried(p Fingerprint, trials int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[p]
@@ -288,9 +293,9 @@
 	return true
 }
 
-// Clear takes in that nothing is held against the request any more: a target has answered it well, which one that crashes
-// its targets never sees, or an operator says so. It says whether anything was, and returns what was known.
-func (l *List) Clear(p Print) (was Case, found bool) {
+// Clear drops the crash reports of a request: a target has answered it well, which a request that crashes its targets
+// never sees, or an operator says so. It returns what was known, and whether there was anything.
+func (l *List) Clear(p Fingerprint) (was Case, found bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[p]
@@ -307,7 +312,7 @@
 }
 
 // Known returns what is known of the request.
-func (l *List) Known(p Print) (c Case, since clock.Millis, found bool) {
+func (l *List) Known(p Fingerprint) (c Case, since clock.Millis, found bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[p]
@@ -323,7 +328,7 @@
 	return c
 }
 
-// All returns all requests under which targets crashed, in the order of their prints.
+// All returns all requests under which targets crashed, in the order of their fingerprints.
 func (l *List) All() (list []Case) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -332,7 +337,7 @@
 			list = append(list, e.copied())
 		}
 	}
-	slices.SortFunc(list, func(a, b Case) int { return slices.Compare(a.Print[:], b.Print[:]) })
+	slices.SortFunc(list, func(a, b Case) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
 	return list
 }
 
@@ -347,7 +352,7 @@
 	now := l.clock.Now()
 	for p, e := range l.entries {
 		age := now - e.since
-		if e.want || e.Held() {
+		if e.dirty || e.Held() {
 			continue
 		}
 		if age > forgetAfter || len(e.Crashes) == 0 && age > clearedFor {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -11,12 +11,15 @@
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
 
-var pagePrint = quarantine.PrintsOf(&page)[quarantine.ByRequest]
+// crashThreshold is how many targets crash under a request until it is quarantined.
+const crashThreshold = 3
+
+var pagePrint = quarantine.FingerprintsOf(&page)[quarantine.ScopeRequest]
 
 // crash is word of one crash that was just seen.
 func crash(c clock.Clock, target string) quarantine.Case {
 	return quarantine.Case{
-		Print: pagePrint, Service: "desk", What: "GET example/a/b",
+		Fingerprint: pagePrint, Service: "desk", What: "GET example/a/b",
 		Crashes: []quarantine.Crash{{Target: ident.Target(target), From: c.Now(), At: c.Now()}},
 	}
 }
@@ -24,7 +27,7 @@
 // held returns a list that holds the page back.
 func held(c clock.Clock) *quarantine.List {
 	l := quarantine.New(c)
-	for i := range quarantine.Enough {
+	for i := range crashThreshold {
 		l.Crashed(crash(c, fmt.Sprint("t", i)))
 	}
 	return l
@@ -36,16 +39,16 @@
 	l := quarantine.New(c)
 	is.True(l.Empty())
 	is.Equal(l.Crashed(crash(c, "a")), quarantine.Suspected)
-	is.Equal(l.Crashed(crash(c, "a")), quarantine.Nothing) // another request was lost by the same crash
-	is.True(!l.Decide(pagePrint).Sole())                   // one that was aboard by chance may be tried again
+	is.Equal(l.Crashed(crash(c, "a")), quarantine.Unchanged) // another request was lost by the same crash
+	is.True(!l.Decide(pagePrint).SingleAttempt())            // one that was in flight by chance may be tried again
 	is.Equal(l.Crashed(crash(c, "b")), quarantine.Suspected)
-	is.True(l.Decide(pagePrint).Sole())
+	is.True(l.Decide(pagePrint).SingleAttempt())
 	is.True(!l.Decide(pagePrint).Held)
-	is.Equal(l.Crashed(crash(c, "c")), quarantine.Held)
+	is.Equal(l.Crashed(crash(c, "c")), quarantine.Quarantined)
 	v := l.Decide(pagePrint)
 	is.True(v.Held && !v.Due)
 	is.True(v.RetryAfter > 0)
-	is.Equal(l.Decide(quarantine.Print{}), quarantine.Verdict{}) // others are as before
+	is.Equal(l.Decide(quarantine.Fingerprint{}), quarantine.Verdict{}) // others are as before
 }
 
 // TestOneTargetThatCrashesAgainCounts has a service of one target, which starts again under the same id.
@@ -53,7 +56,7 @@
 	is := is.New(t)
 	c := clock.NewManual(1000)
 	l := quarantine.New(c)
-	for range quarantine.Enough {
+	for range crashThreshold {
 		l.Crashed(crash(c, "a"))
 		c.Advance(2 * clock.Second)
 	}
@@ -74,15 +77,15 @@
 		l.Crashed(one)
 	}
 	v := l.Decide(pagePrint)
-	is.Equal(v.InARow, 1)
-	is.True(v.Held && v.Due && !v.Sole())
+	is.Equal(v.SequentialCrashes, 1)
+	is.True(v.Held && v.Due && !v.SingleAttempt())
 	c.Advance(100)
 	is.True(l.Tried(pagePrint, 1))
 	one := crash(c, "later")
 	one.Crashes[0].From -= 90
-	is.Equal(l.Crashed(one), quarantine.Still)
+	is.Equal(l.Crashed(one), quarantine.CrashedAgain)
 	v = l.Decide(pagePrint)
-	is.True(!v.Due && v.Sole())
+	is.True(!v.Due && v.SingleAttempt())
 }
 
 func TestAGoodAnswerClears(t *testing.T) {
@@ -93,9 +96,9 @@
 	c.Advance(10)
 	was, found := l.Clear(pagePrint)
 	is.True(found)
-	is.Equal(len(was.Crashes), quarantine.Enough)
+	is.Equal(len(was.Crashes), crashThreshold)
 	is.Equal(l.Decide(pagePrint), quarantine.Verdict{})
-	is.Equal(l.Crashed(old), quarantine.Nothing) // word that is older than the good answer
+	is.Equal(l.Crashed(old), quarantine.Unchanged) // word that is older than the good answer
 	_, found = l.Clear(pagePrint)
 	is.True(!found)
 	c.Advance(1)
@@ -114,7 +117,7 @@
 			is.True(l.Tried(pagePrint, v.Trials+1))
 			is.True(!l.Tried(pagePrint, v.Trials+1)) // a second request at the same time
 			at = append(at, c.Now()-began)
-			is.Equal(l.Crashed(crash(c, fmt.Sprint("more", len(at)))), quarantine.Still)
+			is.Equal(l.Crashed(crash(c, fmt.Sprint("more", len(at)))), quarantine.CrashedAgain)
 		}
 		c.Advance(100)
 	}
@@ -131,7 +134,7 @@
 	l := held(c)
 	for i := range 10_000 {
 		one := crash(c, "t")
-		one.Print = quarantine.Print{byte(i), byte(i >> 8), 1}
+		one.Fingerprint = quarantine.Fingerprint{byte(i), byte(i >> 8), 1}
 		l.Crashed(one)
 	}
 	is.True(len(l.All()) <= 4096)
@@ -146,22 +149,22 @@
 	is := is.New(t)
 	c := clock.NewManual(1000)
 	here, there := held(c), quarantine.New(c)
-	is.True(here.Want(pagePrint))
-	is.Equal(here.Wanting(), []quarantine.Print{pagePrint})
+	is.True(here.MarkDirty(pagePrint))
+	is.Equal(here.Dirty(), []quarantine.Fingerprint{pagePrint})
 	row := here.Row(pagePrint, nil)
 	here.Wrote(pagePrint)
-	is.Equal(len(here.Wanting()), 0)
+	is.Equal(len(here.Dirty()), 0)
 	key := quarantine.RowOf(pagePrint)
-	is.Equal(there.Take(key, row)[pagePrint], quarantine.Held)
-	is.Equal(there.Take(key, row)[pagePrint], quarantine.Nothing)
-	is.Equal(here.Take(key, row)[pagePrint], quarantine.Nothing)
+	is.Equal(there.Take(key, row)[pagePrint], quarantine.Quarantined)
+	is.Equal(there.Take(key, row)[pagePrint], quarantine.Unchanged)
+	is.Equal(here.Take(key, row)[pagePrint], quarantine.Unchanged)
 
-	is.Equal(there.Crashed(crash(c, "t0")), quarantine.Nothing) // late word of what the row names
+	is.Equal(there.Crashed(crash(c, "t0")), quarantine.Unchanged) // late word of what the row names
 	c.Advance(5 * clock.Second)
-	is.Equal(there.Crashed(crash(c, "t0")), quarantine.Still) // it started again, and crashed again
+	is.Equal(there.Crashed(crash(c, "t0")), quarantine.CrashedAgain) // it started again, and crashed again
 
 	there.Clear(pagePrint)
-	is.True(there.Want(pagePrint))
+	is.True(there.MarkDirty(pagePrint))
 	there.Take(key, row) // older than what is known here
 	is.True(!there.Decide(pagePrint).Held)
 	row = there.Row(pagePrint, row)
@@ -179,9 +182,9 @@
 	here.Crashed(crash(c, "b"))
 	there.Crashed(crash(c, "c"))
 	key := quarantine.RowOf(pagePrint)
-	is.Equal(there.Take(key, here.Row(pagePrint, nil))[pagePrint], quarantine.Held)
-	is.True(there.Want(pagePrint))
-	is.Equal(here.Take(key, there.Row(pagePrint, nil))[pagePrint], quarantine.Held)
+	is.Equal(there.Take(key, here.Row(pagePrint, nil))[pagePrint], quarantine.Quarantined)
+	is.True(there.MarkDirty(pagePrint))
+	is.Equal(here.Take(key, there.Row(pagePrint, nil))[pagePrint], quarantine.Quarantined)
 }
 
 // TestAFullRowClearsNothing pushes requests out of a row: those that are missing from it were not cleared.
@@ -193,18 +196,18 @@
 	l.Wrote(pagePrint)
 	for i := range 8 {
 		other := crash(c, "t")
-		other.Print = pagePrint
-		other.Print[15] = byte(i)
-		other.Print[14]++
+		other.Fingerprint = pagePrint
+		other.Fingerprint[15] = byte(i)
+		other.Fingerprint[14]++
 		l.Crashed(other)
-		row = l.Row(other.Print, row)
+		row = l.Row(other.Fingerprint, row)
 	}
 	is.Equal(len(row.GetSuspects()), 8)
 	l.Take(quarantine.RowOf(pagePrint), row)
 	is.True(l.Decide(pagePrint).Held)
 }
 
-// TestWireRefusesWhatNamesNoRequest hands in prints of other sizes.
+// TestWireRefusesWhatNamesNoRequest hands in fingerprints of other sizes.
 func TestWireRefusesWhatNamesNoRequest(t *testing.T) {
 	is := is.New(t)
 	for _, n := range []int{0, 1, 15, 17} {
@@ -213,13 +216,13 @@
 	}
 }
 
-// BenchmarkDecide is what a request costs besides its print, while 1,000 requests are under suspicion.
+// BenchmarkDecide is what a request costs besides its fingerprint, while 1,000 requests are under suspicion.
 func BenchmarkDecide(b *testing.B) {
 	c := clock.NewManual(1000)
 	l := held(c)
 	for i := range 1000 {
 		one := crash(c, "t")
-		one.Print = quarantine.Print{byte(i), byte(i >> 8), 1}
+		one.Fingerprint = quarantine.Fingerprint{byte(i), byte(i >> 8), 1}
 		l.Crashed(one)
 	}
 	b.ReportAllocs()
--- a/quarantine/rows.go
+++ b/quarantine/rows.go
@@ -17,42 +17,42 @@
 )
 
 // RowOf names the store's row that a request is kept in.
-func RowOf(p Print) string {
+func RowOf(p Fingerprint) string {
 	return fmt.Sprintf("%02x", p[0]%rowCount)
 }
 
-// Want notes that this node is to have the store know what is known here of the request: it saw the last crash under it,
-// or that it was cleared. It says whether there is anything that the store lacks.
-func (l *List) Want(p Print) bool {
+// MarkDirty notes that this node has to write the request to the store: it saw the last crash under it, or that it was
+// cleared. It says whether there is anything that the store lacks.
+func (l *List) MarkDirty(p Fingerprint) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[p]
 	if e == nil || len(e.Crashes) == 0 && !e.stored {
 		return false
 	}
-	e.want = true
+	e.dirty = true
 	return true
 }
 
-// Wanting returns the requests that this node is to have the store know of.
-func (l *List) Wanting() (list []Print) {
+// Dirty returns the requests that this node has to write to the store.
+func (l *List) Dirty() (list []Fingerprint) {
 	if l.Empty() {
 		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for p, e := range l.entries {
-		if e.want {
+		if e.dirty {
 			list = append(list, p)
 		}
 	}
-	slices.SortFunc(list, func(a, b Print) int { return slices.Compare(a[:], b[:]) })
+	slices.SortFunc(list, func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
 	return list
 }
 
 // Row returns the row as it should be, given how it stands in the store: with this request as it is known there and
 // here, and the others as they are. It keeps the latest if there are too many.
-func (l *List) Row(p Print, row *tlv1.Suspects) *tlv1.Suspects {
+func (l *List) Row(p Fingerprint, row *tlv1.Suspects) *tlv1.Suspects {
 	next := &tlv1.Suspects{}
 	for _, s := range row.GetSuspects() {
 		if string(s.GetPrint()) != string(p[:]) {
@@ -76,7 +76,7 @@
 }
 
 // TrialsIn returns how often the request was let through, by the row.
-func TrialsIn(row *tlv1.Suspects, p Print) int {
+func TrialsIn(row *tlv1.Suspects, p Fingerprint) int {
 	for _, s := range row.GetSuspects() {
 		if string(s.GetPrint()) == string(p[:]) {
 			return int(s.GetTrials())
@@ -86,27 +86,27 @@
 }
 
 // Wrote notes that the store has the row as it was written with this request.
-func (l *List) Wrote(p Print) {
+func (l *List) Wrote(p Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.entries[p]; e != nil {
-		e.stored, e.want = len(e.Crashes) > 0, false
+		e.stored, e.dirty = len(e.Crashes) > 0, false
 	}
 }
 
 // Take takes in a row of the store: what it names, and that what it no longer names is cleared. It returns what changed.
-func (l *List) Take(key string, row *tlv1.Suspects) (changes map[Print]Change) {
-	changes = map[Print]Change{}
-	named := map[Print]bool{}
+func (l *List) Take(key string, row *tlv1.Suspects) (changes map[Fingerprint]Change) {
+	changes = map[Fingerprint]Change{}
+	named := map[Fingerprint]bool{}
 	now := l.clock.Now()
 	for _, s := range row.GetSuspects() {
 		c, ok := FromWire(s, now)
-		if !ok || RowOf(c.Print) != key {
+		if !ok || RowOf(c.Fingerprint) != key {
 			continue
 		}
-		named[c.Print] = true
+		named[c.Fingerprint] = true
 		if !l.overtaken(c) {
-			changes[c.Print] = l.Crashed(c)
+			changes[c.Fingerprint] = l.Crashed(c)
 			l.stored(c)
 		}
 	}
@@ -120,8 +120,8 @@
 func (l *List) overtaken(c Case) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.entries[c.Print]
-	return e != nil && e.want && len(e.Crashes) == 0
+	e := l.entries[c.Fingerprint]
+	return e != nil && e.dirty && len(e.Crashes) == 0
 }
 
 // stored notes that the store names the request with these crashes.
@@ -130,17 +130,17 @@
 	defer l.mu.Unlock()
 	e := l.entry(&c)
 	e.stored = true
-	e.want = e.want && (len(e.Crashes) > len(c.Crashes) || e.Trials > c.Trials)
+	e.dirty = e.dirty && (len(e.Crashes) > len(c.Crashes) || e.Trials > c.Trials)
 }
 
 // dropped clears the requests of a row that the store no longer names.
-func (l *List) dropped(key string, named map[Print]bool) {
+func (l *List) dropped(key string, named map[Fingerprint]bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for p, e := range l.entries {
 		if e.stored && !named[p] && RowOf(p) == key {
 			e.clear(l.clock.Now())
-			e.stored, e.want = false, false
+			e.stored, e.dirty = false, false
 		}
 	}
 }
@@ -150,10 +150,10 @@
 
 // ToWire returns the case as other nodes are told of it now, or with never as the store keeps it.
 func ToWire(c Case, now clock.Millis) *tlv1.Suspect {
-	s := &tlv1.Suspect{Print: c.Print[:], Service: c.Service, What: c.What, Trials: uint32(c.Trials), Breadth: uint32(c.Breadth)}
+	s := &tlv1.Suspect{Print: c.Fingerprint[:], Service: c.Service, What: c.What, Trials: uint32(c.Trials), Breadth: uint32(c.Scope)}
 	for _, x := range c.Crashes {
 		crash := &tlv1.Crash{Target: string(x.Target), AgeMs: int64(never)}
-		if now != never && !x.Loose {
+		if now != never && !x.AtIsUpperBound {
 			crash.AgeMs, crash.RanMs = int64(max(now-x.At, 0)), int64(x.At-x.From)
 		}
 		s.Crashes = append(s.Crashes, crash)
@@ -163,14 +163,14 @@
 
 // FromWire returns the case that was told, as of now. It fails if it names no request.
 func FromWire(s *tlv1.Suspect, now clock.Millis) (c Case, ok bool) {
-	if len(s.GetPrint()) != PrintBytes || s.GetBreadth() >= uint32(breadths) {
+	if len(s.GetPrint()) != FingerprintBytes || s.GetBreadth() >= uint32(scopes) {
 		return Case{}, false
 	}
-	c = Case{Print: Print(s.GetPrint()), Service: s.GetService(), What: s.GetWhat(), Trials: int(s.GetTrials()), Breadth: Breadth(s.GetBreadth())}
+	c = Case{Fingerprint: Fingerprint(s.GetPrint()), Service: s.GetService(), What: s.GetWhat(), Trials: int(s.GetTrials()), Scope: Scope(s.GetBreadth())}
 	for _, x := range s.GetCrashes() {
 		age := clock.Millis(x.GetAgeMs())
 		at := now - max(age, 0)
-		c.Crashes = append(c.Crashes, Crash{Target: ident.Target(x.GetTarget()), From: at - clock.Millis(x.GetRanMs()), At: at, Loose: age < 0})
+		c.Crashes = append(c.Crashes, Crash{Target: ident.Target(x.GetTarget()), From: at - clock.Millis(x.GetRanMs()), At: at, AtIsUpperBound: age < 0})
 	}
 	return c, true
 }
