Versions of the state that come slowly are not read one by one: an answer is given up as its second one begins

Cause: the feed answers every version since the mark, in order, and only the last one is of use; 10 of them take the link 6 s. Now the answer is watched as it comes: if its first row took 0.4 s and a second one begins, it is given up and the newest version is read alone. This costs nothing where one version comes; where two come the same time and one connection.

--- a/node/duty.go
+++ b/node/duty.go
@@ -71,7 +71,7 @@
 	place int
 	// missing says that versions of the state may have passed this node by, since the store turned it away.
 	missing bool
-	// gap says that the store has forgotten the changes after the state that this node holds.
+	// gap says that the changes after the state that this node holds are not to be followed.
 	gap bool
 }
 
@@ -185,6 +185,9 @@
 		case errors.Is(err, store.ErrGap):
 			d.forgetMark(k)
 			d.node.log.WithFields(logrus.Fields{"event": "store_gap", "kind": k}).Warn()
+		case errors.Is(err, store.ErrSuperseded):
+			d.forgetMark(k)
+			d.node.log.WithFields(logrus.Fields{"event": "store_superseded", "kind": k}).Info()
 		default:
 			d.lost(k, err)
 		}
@@ -206,7 +209,7 @@
 	return m
 }
 
-// forgetMark has this node read all again, since the store no longer knows what changed after its mark.
+// forgetMark has this node read all again, since what changed after its mark is not known, or takes longer to come.
 func (d *duty) forgetMark(k store.Kind) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/store/store.go
+++ b/store/store.go
@@ -18,6 +18,8 @@
 	ErrAway = errors.New("store does not answer")
 	// ErrGap says that the store no longer knows all changes since the mark: read the whole again.
 	ErrGap = errors.New("changes were forgotten")
+	// ErrSuperseded says that changes since the mark come so slowly that the newest is had sooner by reading the whole.
+	ErrSuperseded = errors.New("newer changes follow")
 )
 
 // A Row struct is one row of the table. Version 0 means that there is no such row.
@@ -113,6 +115,6 @@
 	// Read returns all records of the kind.
 	Read(ctx context.Context, k Kind) (Reply, error)
 	// Follow returns the changes since the mark as soon as there are any, or none after the wait. It
-	// fails with ErrGap when it no longer knows them.
+	// fails with ErrGap when it no longer knows them, and with ErrSuperseded when the newest is better read alone.
 	Follow(ctx context.Context, k Kind, m Mark, wait clock.Millis) (Reply, error)
 }
