--- a/assign/assign.go
+++ b/assign/assign.go
@@ -59,8 +59,7 @@
 
 // Duty returns the place of a node in the ranking for a duty, from 0, or -1 if it has none.
 //
-// It ranks nobody else: of 100 candidates a place costs 3.9 us and no allocation, the whole ranking 31 us and two
-// (BenchmarkDuty).
+// It ranks nobody else, which costs less than the whole ranking and allocates nothing.
 func Duty(duty string, candidates []Candidate, n ident.Node) (place int) {
 	own := slices.IndexFunc(candidates, func(c Candidate) bool { return c.Node == n })
 	if own < 0 || candidates[own].Weight == 0 {
--- a/assign/sharers.go
+++ b/assign/sharers.go
@@ -9,13 +9,11 @@
 
 // SettleFor is how long a node goes on counting one that it no longer sees among those that share something, and how
 // long it must have been one of them itself to have a part. A suspicion lasts no longer: whoever is held suspect goes on
-// with its part, and nodes differ in whom they suspect. Without it four nodes under lost messages made 81 requests of a
-// workspace in a window where 73 are allowed, and 30 in virtual time had 1.5 of the slack of retries.
+// with its part, and nodes differ in whom they suspect.
 const SettleFor = 3 * clock.Second
 
 // countAfter is for how long another node must have been seen sharing to count: one that did so for a moment had no part
-// yet. What is left of SettleFor is for news that comes late. Counting all at once, six nodes had 0.4 of the limits for four
-// seconds while others came and went by what was in flight, and 300 requests of 3,700 more were refused.
+// yet. What is left of SettleFor is for news that comes late.
 const countAfter = SettleFor / 2
 
 // A Sharers struct remembers who shared something with this node of late, so that parts of it add up to one at most
--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -9,8 +9,7 @@
 import "github.com/tinladder/tinladder/clock"
 
 const (
-	// MaxTried bounds the targets that one request goes to. With half of a service's targets full, 1 in 64 requests
-	// finds none of six with room.
+	// MaxTried bounds the targets that one request goes to.
 	MaxTried = 6
 	// fairShare is the part of a usual service time that must be left for another attempt: with less it would fail
 	// more often than not, and cost a slot all the same.
--- a/belief/belief.go
+++ b/belief/belief.go
@@ -20,9 +20,7 @@
 	FailingFails float64
 }
 
-// DefaultModel is what was measured on the users' platform: at any time three in ten targets fail
-// nine in ten of their requests, for about nine seconds and at times longer; one answer in a
-// hundred of a sound target is a failure (docs/design/12-choice.md).
+// DefaultModel has three in ten targets fail at any time, for nine seconds on average (docs/design/12-choice.md).
 var DefaultModel = Model{Sound: 21 * clock.Second, Failing: 9 * clock.Second, SoundFails: 0.015, FailingFails: 0.85}
 
 // Prior is the share of targets that fail at any time.
--- a/door/listener.go
+++ b/door/listener.go
@@ -14,7 +14,7 @@
 	// lastLook is how long the listener looks for visitors at a time, once it is to close.
 	lastLook = time.Millisecond
 	// lastVisitors are the most that it takes in then: as many as the system keeps waiting. A bound on the time would reset
-	// all who wait where the process stands still for that long (103 at one stop, 250 ms on a loaded machine).
+	// all who wait where the process stands still for that long.
 	lastVisitors = 4096
 )
 
--- a/emulate/link.go
+++ b/emulate/link.go
@@ -10,8 +10,7 @@
 // pieceBytes is how much of a connection's bytes go over a link at a time, so that connections share it.
 const pieceBytes = 8 << 10
 
-// catchUp is how much of the time that a busy machine sleeps too long a link makes good: at a load of 16 on 8
-// processors, pieces that take 27 ms took 39 without it, and the link carried a third less than it should.
+// catchUp is how much of the time that a busy machine sleeps too long a link makes good.
 const catchUp = 40 * time.Millisecond
 
 // A Link struct is a node's link of limited bandwidth, which all that goes to the node and from it shares.
--- a/leave/leave.go
+++ b/leave/leave.go
@@ -15,13 +15,10 @@
 	// takeShare is for how long requests are taken that may last beyond the end, and would be cut. Most are over long
 	// before their time is.
 	takeShare = 48
-	// restShare is for how long connections that rest are left open. Of callers that keep connections to rest for up to
-	// the grace period, 341 of 400 found theirs closed when it ended as soon as nothing was at work, and up to 6 had a
-	// request on its way (400 connections, one node, 2 s of grace).
+	// restShare is for how long connections that rest are left open: a caller may send on one as it is closed.
 	restShare = 84
 	// answerShare is when what is still at work is answered by the node itself, and endShare when it ends. What is left is
-	// for a node that learns late that it is to leave: two of 30 that stopped on a machine with three times the load that
-	// it bears learned 350 and 550 ms late, of four seconds, and were killed with 8 and 15 requests at work.
+	// for a node that learns late that it is to leave, as on a machine that is overloaded.
 	answerShare = 90
 	endShare    = 92
 	hundredths  = 100
@@ -31,7 +28,7 @@
 	// answerTime is what an answer takes, after a request's time is over, to be out of the node.
 	answerTime clock.Millis = 50
 	// endTime is the least that a node ends before its grace period, and lastTime that it answers before it ends: a
-	// share of a short one is less than the steps take. With 200, 500 and 1,000 ms it ended 9 to 29 ms after its time.
+	// share of a short one is less than the steps take.
 	endTime  clock.Millis = 60
 	lastTime clock.Millis = 40
 )
--- a/limit/deal.go
+++ b/limit/deal.go
@@ -40,7 +40,7 @@
 // settled returns the view that parts are dealt by: who shared of late counts, and the node itself once others count it.
 // One that hears too few others has no part, and may no longer count among those that hear each other. One that is the whole
 // fleet has nobody to wait for, and one that has just started does not wait: where all have, one after the other, nobody
-// would have a part for as long (31 nodes serve 1.0 s after all were killed in place of 4).
+// would have a part for as long.
 func (v View) settled(s *assign.Sharers, now clock.Millis) View {
 	count, settled := s.See(v.Sharing, v.Carries && v.Deals(), v.Fresh || v.Young || max(v.Live, v.Known) <= 1, now)
 	if len(v.Sharing) > 0 {
--- a/limit/table.go
+++ b/limit/table.go
@@ -19,8 +19,7 @@
 	// askFor is for how much of the usual work is borrowed at once.
 	askFor clock.Millis = 300
 	// askShare is the part of that which each of those that are asked is asked for: some have nothing to spare. What
-	// comes beyond need lapses or lies idle: a workspace that asks 1.2 times its rate at six nodes gets 0.88 of what it
-	// asks with 0.3 of what 400 ms need, and 0.92 with 0.2 of what 300 ms need (virtual time, 12 seeds, 30 nodes).
+	// comes beyond need lapses or lies idle.
 	askShare = 0.2
 	// stalled is how long a process that runs is never without a look at the time: after more it stood still, and
 	// others may have been given its part.
--- a/logs/sink.go
+++ b/logs/sink.go
@@ -12,8 +12,7 @@
 )
 
 const (
-	// MaxWaiting bounds the bytes of lines that wait for a slow reader: about 4,000 lines, and a small
-	// part of the least memory of a VM, 184 MB.
+	// MaxWaiting bounds the bytes of lines that wait for a slow reader.
 	MaxWaiting = 1 << 20
 	// ordinaryShare is the part of MaxWaiting that ordinary lines may fill, so that failures and
 	// refusals still find room: one in so many.
--- a/member/index.go
+++ b/member/index.go
@@ -12,8 +12,7 @@
 	version uint64
 	made    bool
 	live    []string
-	// members are the live nodes by name; nil if any word of them has come since. Asked for ten times a tick, the list of
-	// 100 nodes took 4 of 100 of the processor time (profile of TestMeasureSize).
+	// members are the live nodes by name, which are asked for many times a tick; nil if any word of them has come since.
 	members []*tlv1.Member
 	// halls are those of the live nodes, by where they hear gossip.
 	halls map[string]string
--- a/node/compares.go
+++ b/node/compares.go
@@ -11,7 +11,7 @@
 	compareShare              = 0.25
 	compareAhead clock.Millis = 100
 	// compareBytes is how many bytes of answers a whole core makes in a millisecond, and compareMeasured the part of that
-	// time in which the records are put together; the rest is for marshalling and compressing (profile of BenchmarkCompare).
+	// time in which the records are put together; the rest is for marshalling and compressing.
 	compareBytes    = 36 << 10
 	compareMeasured = 0.2
 )
--- a/node/duty.go
+++ b/node/duty.go
@@ -90,8 +90,7 @@
 }
 
 // rank is this node's place in its hall in the order in which nodes watch, from 0. It is worked out when members have
-// changed, or while the store turns some away: worked out at each look, twenty times a second for each kind, it took 7 of
-// 100 of the processor time of 100 nodes (profile of TestMeasureSize).
+// changed, or while the store turns some away: it is asked for twenty times a second for each kind.
 func (d *duty) rank() int {
 	n := d.node
 	version := n.members.Version()
--- a/node/handon.go
+++ b/node/handon.go
@@ -40,8 +40,7 @@
 var errNoBase = errors.New("record is packed against a version that is not held")
 
 // handOn gives the newest version of the desired state to other nodes: as what has changed since the version
-// that they hold, and to a few at a time. Of 118 nodes with links of 10 Mbit/s, the last one is behind a state
-// that grows to 5,600 routes for 0.8 s at most (a played day), and for 19.5 s if states go whole to all that ask.
+// that they hold, and to a few at a time: whole to all that ask, it would fill this node's link for many seconds.
 type handOn struct {
 	clock clock.Clock
 	link  *pacer.Pacer
--- a/node/pace.go
+++ b/node/pace.go
@@ -22,8 +22,7 @@
 }
 
 const (
-	// hedgeShare is the share of good answers that come sooner than a second attempt is made. 0.8 serves
-	// no more (six played days, paired).
+	// hedgeShare is the share of good answers that come sooner than a second attempt is made.
 	hedgeShare = 0.9
 	// hedgeFactor is how many times as long as usual an attempt is waited for while too few answers of
 	// its kind are known.
--- a/node/race.go
+++ b/node/race.go
@@ -47,8 +47,7 @@
 
 // race makes an attempt, and a second one beside it if the first takes long and the request may be
 // repeated. The first good answer wins; the other attempt is ended. If none is good it returns the one
-// that ended last. Where targets fail by silence, 1.6 points more of all requests are served than by
-// waiting for the first attempt alone (six played days, paired, without processor time).
+// that ended last.
 func (x *exchange) race(ctx context.Context, l *pool.Lease) (*forward.Answer, error) {
 	if !x.mayHedge() {
 		e := x.attempt(ctx, x.next(l))
--- a/node/records.go
+++ b/node/records.go
@@ -251,7 +251,7 @@
 }
 
 // targets returns all targets that registered themselves, by their ids. The caller must not change them. Only what has
-// changed is looked at: of 3,000 targets, one that changes costs a copy of the list (BenchmarkTargetChanges).
+// changed is looked at: one target that changes costs a copy of the list.
 func (r *records) targets() []target {
 	d := &r.decoded
 	d.mu.Lock()
--- a/node/services.go
+++ b/node/services.go
@@ -161,7 +161,7 @@
 }
 
 // refreshPause is the least time between two looks at all targets because some changed: while a fleet starts, thousands
-// of records come eight to a datagram, and each look costs 1 to 3 ms for 1,000 targets.
+// of records come eight to a datagram, and a look costs time by the number of targets.
 const refreshPause clock.Millis = 100
 
 // targetsChanged takes over the targets that are known now, at once or, if that was just done, soon.
--- a/node/turns.go
+++ b/node/turns.go
@@ -11,8 +11,7 @@
 
 // turns are this node's places among those that try targets when too little is known of them, from 0: the nodes of a
 // target's hall that carry its service, in an order that is each target's own, so that its trials are not made twice.
-// A place is worked out once for as long as the carriers stay the same: worked out for each target with each change
-// of any, it took two thirds of the processor time of a fleet of 100 small nodes and 1,000 targets.
+// A place is worked out once for as long as the carriers stay the same.
 type turns struct {
 	self ident.Node
 
--- a/pool/explore.go
+++ b/pool/explore.go
@@ -112,8 +112,7 @@
 
 // doubted says whether another node could not reach the target of late, and nobody had an answer from it since. That may
 // be that node's way alone, so the target is tried all the same, after the others. An answer shows that it is: if it came
-// after the others still, the share that has no work would be the same targets all the time, those that some are cut from
-// (cuts, slow of cutDeployments, 20 seeds: 6.55% not served in place of 6.74%).
+// after the others still, the share that has no work would be the same targets all the time, those that some are cut from.
 func (p *Pool) doubted(t *target, now clock.Millis) bool {
 	for _, s := range t.peers {
 		if s.unreachable && now-s.at <= p.tuning.PeerAge && t.okAt < s.unreachableSince && !t.answeredOthers(s.unreachableSince) {
--- a/pool/spread.go
+++ b/pool/spread.go
@@ -16,10 +16,7 @@
 // any time a share of the targets that are likely sound has work. In deep trouble nearly all have it that did not
 // fail just now, whatever is believed of them.
 //
-// What it costs: run-once requests can only be tried with harm. In virtual time (60 targets, 2.7 requests a second each,
-// four seeds, TestMeasureFloor) too few had work in 4.0 of 100 windows without a share for calm times, and 3.58% of the
-// requests were not served; with 0.75 it was none, and 3.68%. With half of the requests 76.5 of 100 and 4.03%, none and
-// 5.11%; with 0.7 it was 0.2, and 4.69%.
+// What it costs: run-once requests can only be tried with harm (TestMeasureFloor).
 
 // A need is what share of which targets must have had work within Tuning.SpreadIdle.
 type need struct {
@@ -47,8 +44,7 @@
 //
 // The load pattern: hundreds of targets for a few requests a second. If work is spread all the same, each request goes
 // to a target that nobody knows, and fails as often as targets do; what is known is never used. So requests go to
-// targets that answered well of late, and to others as those fail or fill up. With 300 targets for 60 requests a second,
-// 4.4 of 100 are not served in place of 11.1 (virtual time, four seeds, TestSparseLoad).
+// targets that answered well of late, and to others as those fail or fill up.
 func (p *Pool) sparse(now clock.Millis) bool {
 	asked := max(p.lately(now).asked, p.begun.sum(now).asked)
 	return float64(asked) < p.tuning.SparseBelow*p.tuning.CalmSpread*float64(len(p.order))
@@ -93,8 +89,7 @@
 // workedAt is when the target last had work. A request that is in flight counts as such, from when it came, until it
 // turns out that it could not connect: else a node that is cut from a target would keep those whose turn comes after its
 // own from it, trial by trial, or for as long as its requests hang there. What a node has in flight that cannot connect
-// there now is no work either, since its trials come on top of what hangs: 0.6 of 100 windows under seven tenths in place
-// of 1.5 (cuts, slow of cutDeployments, 20 seeds).
+// there now is no work either, since its trials come on top of what hangs.
 func (p *Pool) workedAt(t *target, now clock.Millis) clock.Millis {
 	at := t.usedAt
 	if t.mine > 0 {
--- a/pool/tuning.go
+++ b/pool/tuning.go
@@ -10,12 +10,10 @@
 	Model belief.Model
 	// FailCost is what a failure costs a request that cannot be repeated, and RetryCost one that can.
 	FailCost, RetryCost float64
-	// LateCost is what an answer costs that comes, and comes late: on the users' sheets it loses half to
-	// seven tenths of its worth.
+	// LateCost is what an answer costs that comes, and comes late.
 	LateCost float64
 	// FarCost is what a target in another hall costs, and FarByteCost what each byte that goes there and
-	// back adds: a 90 KB answer from far costs the users half of what a failure does. Where answers are that
-	// large, the bytes between halls fell by 13 to 40% against 0.04 for all (four played days).
+	// back adds.
 	FarCost, FarByteCost float64
 	// LoadCost is what each slot in use costs, as a share of the slots.
 	LoadCost float64
@@ -27,9 +25,7 @@
 	// target's own queue.
 	Hold float64
 	// Overcommit is how many requests may be in a target's own queue, as a multiple of its slots. What waits here goes
-	// to whoever is free first, so few wait there: with 1, in a burst of 1.7 0.875 are in aim and 0.54 in the worst two
-	// seconds, with 0.5 0.911 and 0.78 (virtual time, the load patterns of TestLoadReplays). None would leave targets
-	// idle for as long as word of a free slot takes.
+	// to whoever is free first, so few wait there. None would leave targets idle for as long as word of a free slot takes.
 	Overcommit float64
 	// JoinWait is how soon a new target is tried, with any request.
 	JoinWait clock.Millis
@@ -45,15 +41,14 @@
 	// DeepSpread is the share of all targets that did not fail just now that must have work in deep trouble: while
 	// more than FloorShare of the requests fail, somewhat less than the tenth from which on the platform holds
 	// the service to its floor. FloorLimit is the share from which on failures count whether they may be chance or
-	// not: just under that tenth, which a service of 432 requests in the window passes before they can be no chance.
+	// not: just under that tenth.
 	DeepSpread             float64
 	FloorShare, FloorLimit float64
 	// TroubleWindow is how long requests count as such of late.
 	TroubleWindow clock.Millis
 	// SoundAgain is how long after a failure a target may count as sound again (2 s on the platform).
 	SoundAgain clock.Millis
-	// SpareBelow is how likely a target may be failing that is tried since few slots are free. With 0.6 one
-	// request in 200 more fails (virtual time, 14 targets, 3.5% against 3.0% not served).
+	// SpareBelow is how likely a target may be failing that is tried since few slots are free.
 	SpareBelow float64
 	// Reserve is the share of the slots of targets that are known to be sound that may be in use
 	// before another target is tried, with any request; KnownBelow is how likely a target that is
--- a/pool/way.go
+++ b/pool/way.go
@@ -6,10 +6,8 @@
 // What is held against the target has all nodes avoid it.
 //
 // The load pattern: a node loses its ways to half of the targets. What it has there hangs until its time limit and ends
-// all at once, seconds later. New connections fail at once by then, and the other nodes have answers all that time. In
-// virtual time, where one of two nodes is cut from 0.6 of the targets (cuts, slow of cutDeployments, 20 seeds), under
-// seven tenths of the sound targets have work in 0.5 of 100 windows if it is held against the way, and in 2.1 if against
-// the target.
+// all at once, seconds later. New connections fail at once by then, and the other nodes have answers all that time. Held
+// against the target, it would keep more sound targets without work.
 
 // cutWays is how many other ways must be cut for the node's way to a target to be taken as cut too, which this node has
 // not tried since: with one, that target alone may take no connections from here.
--- a/stall/stall.go
+++ b/stall/stall.go
@@ -64,7 +64,7 @@
 }
 
 // piece is the most that one read takes: a reader of chunks goes on until the buffer that it is given is full, and on a
-// small link a large one takes longer to fill than any pause may be. 16 KB take 1.3 s of 100 Kbit/s.
+// small link a large one takes longer to fill than any pause may be.
 const piece = 16 << 10
 
 type watched struct {
