A node that knows that it is behind says 503, not 401, for a key that it does not know

Cause: a key that is not known was taken to be known nowhere if word of the store was young; word of a version comes by datagram, before the state does. Evidence: TestNewKeyIsNotRefusedByANodeThatIsBehind, connections between nodes silent as the key comes: 70 to 159 answers of 401 by nodes that had logged state_behind, 6 of 6 runs red before; 12 of 12 green after. Ruled out: asking whether the newer record has come. It comes some milliseconds before it is in force (2 answers of 401 in one of 5 runs). A node is behind now until the version is in force or cannot be, and for a request that was looked up in a state that was replaced since. That held for unknown routes (404) too.

--- a/access/access.go
+++ b/access/access.go
@@ -129,6 +129,8 @@
 	Lapse clock.Millis
 	// Settled is the age up to which a key that is not known here is taken to be known nowhere; 0 if it always is.
 	Settled clock.Millis
+	// Behind says that there are newer keys than those known here.
+	Behind bool
 }
 
 // holds says whether keys may be taken.
@@ -138,7 +140,7 @@
 
 // settled says whether a key that is not known here is known nowhere else.
 func (t Trust) settled() bool {
-	return t.Settled == 0 || t.Proved && t.Age < t.Settled
+	return !t.Behind && (t.Settled == 0 || t.Proved && t.Age < t.Settled)
 }
 
 // Decide says whether a request that shows these values of Authorization may be served, and for which workspace.
--- a/access/access_test.go
+++ b/access/access_test.go
@@ -55,6 +55,8 @@
 		{"nothing proved", []string{"Bearer key-of-shops"}, access.Trust{Lapse: 4900}, access.Unproven, ""},
 		{"taken as known", []string{"Bearer key-of-shops"}, access.Trust{}, access.Allowed, "shops"},
 		{"unknown by old word", []string{"Bearer x"}, access.Trust{Proved: true, Age: 2600, Lapse: 4900, Settled: 2500}, access.Unproven, ""},
+		{"unknown to a node that is behind", []string{"Bearer x"}, access.Trust{Behind: true}, access.Unproven, ""},
+		{"known to a node that is behind", []string{"Bearer key-of-shops"}, access.Trust{Behind: true}, access.Allowed, "shops"},
 	}
 	d := directory(t)
 	for _, c := range cases {
--- a/node/admit.go
+++ b/node/admit.go
@@ -28,7 +28,7 @@
 	if t.Access == nil || route.Public {
 		return nil, nil
 	}
-	w, v := t.Access.Decide(r.Header.Values(n.platform.Speech.Headers.Key), n.trust())
+	w, v := t.Access.Decide(r.Header.Values(n.platform.Speech.Headers.Key), n.trust(t))
 	switch v {
 	case access.Allowed:
 		return w, nil
@@ -63,15 +63,15 @@
 	return pause + rand.N(pause/2+1)
 }
 
-// trust is how far this node may go by the keys that it knows.
-func (n *Node) trust() access.Trust {
+// trust is how far this node may go by the keys of a desired state.
+func (n *Node) trust(t *desired.Table) access.Trust {
 	b := n.settings().Bounds
-	t := access.Trust{Settled: b.Apply.Millis()}
-	t.Age, t.Proved = n.duty.proof.Age(n.clock.Now())
+	trust := access.Trust{Settled: b.Apply.Millis(), Behind: n.lacksNewer(t)}
+	trust.Age, trust.Proved = n.duty.proof.Age(n.clock.Now())
 	if b.Revoke > 0 {
-		t.Lapse = b.Revoke.Millis() - revokeMargin
+		trust.Lapse = b.Revoke.Millis() - revokeMargin
 	}
-	return t
+	return trust
 }
 
 // proofAge is how long ago the store is proved to have held no newer keys, for the log; -1 if that is not known.
@@ -88,6 +88,6 @@
 	if t == nil || t.Access == nil {
 		return false
 	}
-	trust := n.trust()
+	trust := n.trust(t)
 	return trust.Lapse > 0 && (!trust.Proved || trust.Age >= trust.Lapse*awayShare/tenths)
 }
--- a/node/admit_test.go
+++ b/node/admit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -173,6 +174,56 @@
 	is.Equal(ran("gone", target), 0)
 }
 
+// TestNewKeyIsNotRefusedByANodeThatIsBehind adds a workspace while the connections between nodes are silent and all but one
+// are turned away by the store, so that word of the state comes before the state. A node that knows that it is behind must
+// not say that the key is not known: one answered 401 to 20 of 53 requests with a new key, five versions behind.
+func TestNewKeyIsNotRefusedByANodeThatIsBehind(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 4, &fleet{muffled: true, via: func(store string) string { return store }})
+	f.target("i-1", "desk")
+	f.keyed(3, workspaces[1:])
+	f.ready(3, 1)
+	f.proved(courierKey)
+	for _, n := range f.nodes[1:] {
+		n.door.SetFaults(standin.Faults{Away: standin.Busy})
+	}
+	large := func(version uint64, list []standin.WorkspaceRow) {
+		routes := []standin.RouteRow{route("/get/", standin.Repeatable, "desk")}
+		for i := range 600 {
+			routes = append(routes, route(fmt.Sprintf("/%x/", rand.Uint64()), standin.RunOnce, fmt.Sprint("s", i)))
+		}
+		f.store.ConfigureKeyed(version, []string{"desk"}, list, routes...)
+	}
+	large(4, workspaces[1:])
+	_, late := f.inForceWithin(4, time.Now(), 5*time.Second) // connections are open, and rest
+	is.Equal(late, nil)
+	told := func(n *testNode) int { return strings.Count(n.log.String(), "event=state_behind") }
+	before := map[*testNode]int{}
+	for _, n := range f.nodes {
+		n.muffler.hush()
+		before[n] = told(n)
+	}
+	large(5, workspaces)
+	refused := map[int]int{}
+	f.eventually("the new key is taken by all", func() bool {
+		behind := false
+		for i, n := range f.nodes {
+			if inForce(n, 5) {
+				continue
+			}
+			behind = true
+			if told(n) > before[n] {
+				refused[f.callWith(n, "/get/", fmt.Sprint("new-", i), "Authorization", "Bearer "+shopKey).status]++
+			}
+		}
+		return !behind
+	})
+	t.Logf("answers of nodes that were behind: %v", refused)
+	is.Equal(refused[http.StatusUnauthorized], 0)
+	is.True(refused[http.StatusServiceUnavailable] > 0) // a node knew of the new state before it had it
+	is.Equal(f.callWith(f.nodes[0], "/get/", "unknown", "Authorization", "Bearer x").status, http.StatusUnauthorized)
+}
+
 // TestProofIsHandedOn has the store answer one node alone. The others take keys by its word.
 func TestProofIsHandedOn(t *testing.T) {
 	is := is.New(t)
--- a/node/front.go
+++ b/node/front.go
@@ -71,7 +71,7 @@
 		return nil, &Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyPause, Detail: n.records.missing()}
 	}
 	route, problem := routeFor(t, r)
-	if problem != nil && problem.Status == http.StatusNotFound && n.mayBeBehind() {
+	if problem != nil && problem.Status == http.StatusNotFound && n.mayBeBehind(t) {
 		return nil, &Problem{Status: http.StatusServiceUnavailable, RetryAfter: jitter(provePause), Detail: "no route in the desired state known here, and a newer one may be in force"}
 	}
 	if problem != nil {
@@ -97,13 +97,19 @@
 	return x, nil
 }
 
-// mayBeBehind says whether a newer desired state may have to be in force here: another node is known to hold one, or
-// word that the store held none is older than the platform allows. That word's age is told, and grows younger while it
-// waits in the buffers of a node that is busy, so the store's own clock bounds it too, where that shows: by the wait of
-// a watcher's question more, since an answer may show the reading of when the question came. Without this a node
-// refuses with 404 what a state allows that it should have had seconds before.
-func (n *Node) mayBeBehind() bool {
-	if n.lag.lacks(store.State) {
+// lacksNewer says whether there is a newer desired state than this one: another node is known to hold one, or it came as
+// the request was looked at.
+func (n *Node) lacksNewer(t *desired.Table) bool {
+	return n.lag.lacks(store.State) || n.records.table.Load() != t
+}
+
+// mayBeBehind says whether a newer desired state than this one may have to be in force here: there is one, or word that
+// the store held none is older than the platform allows. That word's age is told, and grows younger while it waits in the
+// buffers of a node that is busy, so the store's own clock bounds it too, where that shows: by the wait of a watcher's
+// question more, since an answer may show the reading of when the question came. Without this a node refuses with 404
+// what a state allows that it should have had seconds before.
+func (n *Node) mayBeBehind(t *desired.Table) bool {
+	if n.lacksNewer(t) {
 		return true
 	}
 	bound := n.settings().Bounds.Apply.Millis()
--- a/node/lag.go
+++ b/node/lag.go
@@ -28,12 +28,12 @@
 
 // heard notes the newest version that the node at the address holds.
 func (l *lag) heard(k store.Kind, newest uint64, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	held := l.node.records.sets[k].Newest()
 	if newest <= held {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	m, lacking := l.kinds[k]
 	if newest <= m.newest {
 		return
@@ -48,7 +48,7 @@
 	}
 }
 
-// caughtUp notes that this node holds the version, and returns how long it has been behind.
+// caughtUp notes that the version is in force here, or cannot be, and returns how long this node has been behind.
 func (l *lag) caughtUp(k store.Kind, version uint64) clock.Millis {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -73,9 +73,10 @@
 	return l.node.clock.Now() - m.since
 }
 
-// lacks says whether another node is known to hold a newer version than this one.
+// lacks says whether another node is known to hold a newer version than is in force here.
 func (l *lag) lacks(k store.Kind) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.kinds[k].newest > l.node.records.sets[k].Newest()
+	_, lacking := l.kinds[k]
+	return lacking
 }
--- a/node/records.go
+++ b/node/records.go
@@ -123,18 +123,9 @@
 	n := r.node
 	for _, x := range r.sets[store.State].Live() {
 		n.handOn.keep(x)
-		s := &tlv1.DesiredState{}
-		if err := proto.Unmarshal(x.Value, s); err != nil {
-			n.log.WithFields(logrus.Fields{"event": "state_refused", "from": from, "error": err}).Error()
-			continue
-		}
-		if old := r.table.Load(); old != nil && desired.Version(s.GetVersion()) <= old.Version {
-			n.log.WithFields(logrus.Fields{"event": "state_ignored", "from": from, "version": s.GetVersion(), "in_force": old.Version}).Warn()
-			continue
-		}
-		t, err := desired.Compile(s)
-		if err != nil {
-			n.log.WithFields(logrus.Fields{"event": "state_refused", "from": from, "error": err}).Error()
+		t := r.compile(x, from)
+		if t == nil {
+			n.lag.caughtUp(store.State, x.Version)
 			continue
 		}
 		if r.table.Swap(t) == nil {
@@ -152,6 +143,26 @@
 	}
 }
 
+// compile returns the state of a record as requests use it, or nil if it is not to be put in force.
+func (r *records) compile(x replica.Record, from string) *desired.Table {
+	n := r.node
+	s := &tlv1.DesiredState{}
+	if err := proto.Unmarshal(x.Value, s); err != nil {
+		n.log.WithFields(logrus.Fields{"event": "state_refused", "from": from, "error": err}).Error()
+		return nil
+	}
+	if old := r.table.Load(); old != nil && desired.Version(s.GetVersion()) <= old.Version {
+		n.log.WithFields(logrus.Fields{"event": "state_ignored", "from": from, "version": s.GetVersion(), "in_force": old.Version}).Warn()
+		return nil
+	}
+	t, err := desired.Compile(s)
+	if err != nil {
+		n.log.WithFields(logrus.Fields{"event": "state_refused", "from": from, "error": err}).Error()
+		return nil
+	}
+	return t
+}
+
 // refuse tells of a record, or a part of one, that was read from the store and cannot be used.
 func (r *records) refuse(x store.Refusal) {
 	n := r.node
