A node that has just started takes over its first targets at once

Cause: the targets are looked at as the state comes, and no look follows another one within 0.1 s. Evidence: TestFirstTargetsAreTakenAtOnce brings both 2 ms apart: no target before, one after. Two tests over the store had stayed green, since there both come at chance times. Why it works: the pause keeps thousands of records from as many looks; where the last look found no target at all, one more look costs nothing. Ruled out: a look for each service without targets, of which a large fleet has hundreds as it starts on small nodes.

--- a/node/services.go
+++ b/node/services.go
@@ -60,6 +60,8 @@
 	// refreshedAt is when the targets were last looked at, and stale says that some have changed since.
 	refreshedAt clock.Millis
 	stale       bool
+	// none says that there were no targets then: the first ones are waited for by requests.
+	none bool
 	// turns are this node's places among those that try targets.
 	turns *turns
 	// most is how many nodes there were of late.
@@ -168,7 +170,7 @@
 func (s *services) targetsChanged() {
 	s.mu.Lock()
 	now := s.node.clock.Now()
-	wait := now-s.refreshedAt < refreshPause
+	wait := now-s.refreshedAt < refreshPause && !s.none
 	s.stale = true
 	s.mu.Unlock()
 	if !wait {
@@ -199,6 +201,9 @@
 	s.refreshedAt, s.stale = s.node.clock.Now(), false
 	s.mu.Unlock()
 	known := s.known()
+	s.mu.Lock()
+	s.none = len(known) == 0
+	s.mu.Unlock()
 	slots := map[string]int{}
 	for _, t := range known {
 		slots[t.service] += t.slots
