--- a/node/crash_kinds_test.go
+++ b/node/crash_kinds_test.go
@@ -133,6 +133,40 @@
 	is.True(len(b.sent(crashPath)) <= sent+1) // a trial, at the most
 }
 
+// TestNodeThatWasCutOffHoldsBackToo cuts a node off from the others and from the store while they learn of a request that
+// crashes targets. It counts as in touch 3 s after it is back, and must hold the request back from then on.
+func TestNodeThatWasCutOffHoldsBackToo(t *testing.T) {
+	const (
+		linkBytes = 2_000_000
+		contact   = 3 * time.Second
+	)
+	is := is.New(t)
+	f := newFleetOnLinks(t, 3, linkBytes)
+	f.calm(1)
+	b := newBrittle(f, 6)
+	f.ready(1, 6)
+	all, cut := f.nodes, f.nodes[2]
+	f.nodes = all[:2]
+	cut.relay.SetCut(true)
+	cut.door.SetFaults(standin.Faults{Away: standin.Reset})
+	f.insist(http.MethodGet, crashPath, "", 100*time.Millisecond, 1500*time.Millisecond)
+	f.eventually("the others hold it back", func() bool { return f.seen("event=request_held") >= 2 })
+	sent := len(b.sent(crashPath))
+	cut.door.SetFaults(standin.Faults{})
+	cut.relay.SetCut(false)
+	f.nodes = all
+	time.Sleep(contact)
+	held := 0
+	for i := range 3 {
+		if f.call(cut, http.MethodGet, crashPath, fmt.Sprint("cut-", i), "").status == http.StatusServiceUnavailable {
+			held++
+		}
+	}
+	again := len(b.sent(crashPath)) - sent
+	is.True(again <= 1) // a trial, at the most
+	is.True(held >= 3-again)
+}
+
 // TestRequestThatIsCuredIsServedAgain has targets that bear the request once they have started again.
 func TestRequestThatIsCuredIsServedAgain(t *testing.T) {
 	f := newFleet(t, 3)
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -60,6 +60,8 @@
 	peersAt string
 	link    *emulate.Link
 	muffler *muffler
+	// relay is the way of others to a node with a link.
+	relay *emulate.Relay
 	// more is added to the node's settings.
 	more string
 	door *standin.Door
@@ -131,6 +133,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			n.relay = r
 			t.Cleanup(r.Close)
 		}
 		if f.muffled {
