A cleared row of crash reports is removed from the store; a refusal for a call's form is no outage

Callers: a request that targets serve again was held back by nodes that started later, and tinladderctl lift did not last. Cause: the last fingerprint of a row left an empty value, which the store refuses; every error was marked as an outage, so the write was made again each second, and a trial could be granted without the store's word. Ruled out: a tombstone within the row, which would push crash reports out of a full one. Also: a row that others write all the time is contended, not away; an unreadable row is written anew.

--- a/node/suspect_rows.go
+++ b/node/suspect_rows.go
@@ -92,12 +92,15 @@
 func (s *suspects) save(ctx context.Context, p quarantine.Fingerprint, trials int) (err error) {
 	defer func() { err = errors.Wrapf(err, "save crash reports of request %s", p) }()
 	key := quarantine.RowOf(p)
-	held, _ := s.node.records.sets[store.Suspects].Get(key)
-	row := store.Row{Key: key, Value: held.Value, Version: held.Version}
+	row := store.Row{Key: key}
+	if held, found := s.node.records.sets[store.Suspects].Get(key); found {
+		row.Value, row.Version = held.Value, held.Version
+	}
 	for range rowTries {
 		was := &tlv1.Suspects{}
 		if err := proto.Unmarshal(row.Value, was); err != nil {
-			return err
+			s.node.log.WithFields(logrus.Fields{"event": "record_unreadable", "key": key, "version": row.Version, "from": fromStore, "error": err}).Warn()
+			was = &tlv1.Suspects{} // nobody can read it: it is written anew
 		}
 		if trials > 0 && quarantine.TrialsIn(was, p) >= trials {
 			return errTaken
@@ -106,7 +109,9 @@
 		if err != nil {
 			return err
 		}
-		err = s.table.Commit(ctx, store.Write{Key: key, Value: value, Expected: row.Version})
+		if len(value) > 0 || row.Version > 0 { // the last fingerprint of a row takes the row with it
+			err = s.table.Commit(ctx, store.Write{Key: key, Value: value, Expected: row.Version})
+		}
 		var conflict *store.Conflict
 		if errors.As(err, &conflict) && len(conflict.Rows) > 0 {
 			row = conflict.Rows[0]
@@ -118,7 +123,7 @@
 		}
 		return err
 	}
-	return errors.Wrap(store.ErrAway, "the row is too busy")
+	return errors.Wrap(store.ErrContended, "the row is too busy")
 }
 
 // write writes dirty requests to the store, until the context ends.
@@ -147,7 +152,11 @@
 		one, cancel := context.WithTimeout(ctx, lookTimeout.Duration())
 		err := s.save(one, p, 0)
 		cancel()
-		if err != nil {
+		switch {
+		case errors.Is(err, store.ErrInvalid): // it would be refused again for good
+			s.list.Unstorable(p)
+			s.node.log.WithFields(logrus.Fields{"event": "suspect_refused", "print": p, "error": err}).Error()
+		case err != nil:
 			s.node.log.WithFields(logrus.Fields{"event": "suspect_not_stored", "print": p, "error": err}).Warn()
 			return false
 		}
--- a/quarantine/rows.go
+++ b/quarantine/rows.go
@@ -94,6 +94,16 @@
 	}
 }
 
+// Unstorable notes that the store does not take the row as it would be written with this request: it is not written again
+// until more is known of the request.
+func (l *List) Unstorable(p Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.entries[p]; e != nil {
+		e.dirty = false
+	}
+}
+
 // Take takes in a row of the store: what it names, and that what it no longer names is cleared. It returns what changed.
 func (l *List) Take(key string, row *tlv1.Suspects) (changes map[Fingerprint]Change) {
 	changes = map[Fingerprint]Change{}
--- a/store/store.go
+++ b/store/store.go
@@ -16,6 +16,10 @@
 	// ErrAway says that the store did not answer, or refused. A commit that fails so may have taken
 	// effect, or may yet.
 	ErrAway = errors.New("store does not answer")
+	// ErrInvalid says that the store answered and will not take this call, now or later: nothing was written.
+	ErrInvalid = errors.New("store does not take the call")
+	// ErrContended says that other writers were faster each time: nothing was written, and the store answers.
+	ErrContended = errors.New("other writers were faster")
 	// ErrGap says that the store no longer knows all changes since the mark: read the whole again.
 	ErrGap = errors.New("changes were forgotten")
 	// ErrSuperseded says that changes since the mark come so slowly that the newest is had sooner by reading the whole.
@@ -29,7 +33,8 @@
 	Version uint64
 }
 
-// A Write struct sets a row if its version is the expected one; 0 expects no row.
+// A Write struct sets a row if its version is the expected one; 0 expects no row. The store takes no row without a value:
+// a write without one removes the row.
 type Write struct {
 	Key      string
 	Value    []byte
@@ -55,7 +60,8 @@
 	Read(ctx context.Context, keys ...string) ([]Row, error)
 	// Scan returns up to limit rows with the prefix, in key order, after the key named.
 	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
-	// Commit makes all writes or none. It fails with *Conflict, or with ErrAway when nobody knows.
+	// Commit makes all writes or none. It fails with *Conflict, with ErrAway when nobody knows, or with ErrInvalid when the
+	// store does not take them.
 	Commit(ctx context.Context, writes ...Write) error
 }
 
