Evacuations, cold targets and home regions: read, decided and kept

Cause: op/evacuate/HALL, warmup, warmupPerS, warmupLeft and allowedRegions were not read. Of two ways, parts dealt to all carriers (a part falls under one request a second from 9 carriers on) and one owner a target, the owner was built: the first carrier of the target's hall, at a third of the bound, so that three that take themselves for the first keep it. Targets of a hall that is restored count as cold for warmup, since their rows may say so late. - Requests whose route or workspace names regions go to halls of these only; the directory names nodes of the caller's region, then of homes, and others only where no route is bound.

--- a/access/access.go
+++ b/access/access.go
@@ -37,6 +37,8 @@
 	// Rank says who waits when there is too much work; 0 goes first.
 	Rank uint32
 	Rate limit.Rate
+	// Regions are the only ones that may serve its requests; empty stands for all.
+	Regions []ident.Region
 	// Fault says why the workspace cannot be used.
 	Fault string
 }
--- a/desired/desired.go
+++ b/desired/desired.go
@@ -41,6 +41,8 @@
 	Rank uint32
 	// Attempts is the most targets that may run one request.
 	Attempts int
+	// Regions are the only ones that may serve the route's requests; empty stands for all.
+	Regions []ident.Region
 	// Parts are empty where the route cannot be used, as Fault says: its requests lead nowhere.
 	Parts  []Part
 	Fault  string
@@ -75,6 +77,10 @@
 type Service struct {
 	Name        string
 	Connections int
+	// Cold is how long a target is cold after its start, and ColdPerSecond how many requests a second it withstands
+	// meanwhile, from all nodes together; 0 if there is no such bound.
+	Cold          clock.Millis
+	ColdPerSecond float64
 }
 
 // A Table struct is one desired state, ready for use. It is never changed.
@@ -112,7 +118,10 @@
 		},
 	}
 	for _, svc := range s.GetServices() {
-		t.Services[svc.GetName()] = Service{Name: svc.GetName(), Connections: int(svc.GetConnections())}
+		t.Services[svc.GetName()] = Service{
+			Name: svc.GetName(), Connections: int(svc.GetConnections()),
+			Cold: clock.Millis(svc.GetColdMs()), ColdPerSecond: svc.GetColdPerSecond(),
+		}
 	}
 	for _, r := range s.GetRoutes() {
 		t.add(r)
@@ -137,7 +146,7 @@
 		}
 		err := t.Access.Add(access.Workspace{
 			Name: ident.Workspace(w.GetName()), Rank: w.GetRank(), Fault: w.GetFault(),
-			Rate: limit.Rate{PerSecond: w.GetPerSecond(), Burst: w.GetBurst()},
+			Rate: limit.Rate{PerSecond: w.GetPerSecond(), Burst: w.GetBurst()}, Regions: regions(w.GetRegions()),
 		}, keys)
 		if err != nil {
 			t.faults = append(t.faults, err)
@@ -156,6 +165,7 @@
 		Aim:        clock.Millis(d.GetAimMs()),
 		Rank:       d.GetRank(),
 		Attempts:   max(int(d.GetAttempts()), 1),
+		Regions:    regions(d.GetRegions()),
 	}
 	err := t.lead(r, d)
 	if err != nil {
@@ -172,6 +182,13 @@
 	t.byHost[r.Host] = append(t.byHost[r.Host], r)
 }
 
+func regions(names []string) (list []ident.Region) {
+	for _, name := range names {
+		list = append(list, ident.Region(name))
+	}
+	return list
+}
+
 // lead sets where the route leads, and says why it cannot be used.
 func (t *Table) lead(r *Route, d *tlv1.DesiredRoute) error {
 	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -18,6 +18,8 @@
 	Node string
 	// Hall names a zone.
 	Hall string
+	// Region names a group of halls that are close to each other.
+	Region string
 	// Key names a configuration document.
 	Key string
 	// Version is the sequence number of the change that wrote a document.
--- a/node/ask.go
+++ b/node/ask.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/desired"
@@ -70,7 +71,7 @@
 	a := Answer{Service: s.String(), ValidMs: int64(n.valid()), KeyPrefix: n.ledger.Prefix()}
 	self := n.members.Self()
 	list := []*tlv1.Member{self}
-	for _, m := range n.nodesFor(desired.Group(s.String()), hall) {
+	for _, m := range n.nodesFor(desired.Group(s.String()), hall, nil) {
 		if m.GetNode() != self.GetNode() {
 			list = append(list, m)
 		}
@@ -94,7 +95,7 @@
 		}
 		q := n.platform.Speech.ParseQuestion(r)
 		var addresses []string
-		for _, m := range n.nodesFor(n.groupOf(q.Host), q.Hall) {
+		for _, m := range n.nodesFor(n.groupOf(q.Host), q.Hall, homes(n.records.table.Load(), q.Host)) {
 			addresses = append(addresses, m.GetCallerAddress())
 		}
 		if len(addresses) == 0 {
@@ -114,16 +115,15 @@
 	return ""
 }
 
-// nodesFor returns the nodes that carry the group in the caller's hall, and others if there are too
-// few.
-func (n *Node) nodesFor(group desired.Group, hall ident.Hall) []*tlv1.Member {
-	list := n.carriers.inHall(group, hall)
-	halls := n.carriers.halls()
+// nodesFor returns the nodes that carry the group in the caller's hall, and others if there are too few: of its region,
+// then of the regions that may serve the requests, if only some may. Nodes of any other region stand in for none.
+func (n *Node) nodesFor(group desired.Group, hall ident.Hall, homes []ident.Region) []*tlv1.Member {
+	halls := slices.DeleteFunc(n.carriers.halls(), func(h ident.Hall) bool { return h == hall })
 	rand.Shuffle(len(halls), func(i, j int) { halls[i], halls[j] = halls[j], halls[i] })
-	for _, h := range halls {
-		if h != hall && len(list) < fewAddresses {
-			list = append(list[:len(list):len(list)], n.carriers.inHall(group, h)...)
-		}
+	good, others := n.byDistance(halls, n.settings().RegionOf(hall), homes)
+	list := n.carriers.membersIn(group, good, fewAddresses, n.carriers.inHall(group, hall))
+	if homes == nil || len(list) == 0 {
+		list = n.carriers.membersIn(group, others, fewAddresses, list)
 	}
 	return list
 }
--- a/node/duty.go
+++ b/node/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -253,11 +254,17 @@
 	if m == 0 {
 		r, err = n.source.Read(ctx, k)
 		if err == nil {
+			for _, with := range withKinds(r) {
+				d.spreadNews(with, n.records.replace(with, r.With[with], r.Mark, fromStore))
+			}
 			news = n.records.replace(k, r.Records, r.Mark, fromStore)
 		}
 	} else {
 		r, err = n.source.Follow(ctx, k, m, d.waitFor(k))
 		if err == nil {
+			for _, with := range withKinds(r) {
+				d.spreadNews(with, n.records.put(with, r.With[with], fromStore))
+			}
 			news = n.records.put(k, r.Records, fromStore)
 		}
 	}
@@ -280,6 +287,18 @@
 	return r.Mark, at, nil
 }
 
+// withKinds returns the kinds that came with an answer, in order.
+func withKinds(r store.Reply) []store.Kind {
+	return slices.Sorted(maps.Keys(r.With))
+}
+
+// spreadNews spreads records that came with others.
+func (d *duty) spreadNews(k store.Kind, news []replica.Record) {
+	if len(news) > 0 {
+		d.spread(k, news)
+	}
+}
+
 // longRead is how long an answer of the store takes that is told of in the log.
 const longRead clock.Millis = 250
 
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -62,6 +62,8 @@
 	// space is the workspace, and on the fleet's own interface the service, that the request names by its key or token.
 	space         string
 	fingerprinted fingerprintsOnce
+	// halls are those whose targets may have the request; nil stands for all.
+	halls map[ident.Hall]bool
 	// used is the attempt whose answer is passed on.
 	used *pool.Lease
 	// verdict is how the quarantine has it treated.
@@ -157,7 +159,7 @@
 	return &pool.Ask{
 		Repeatable: x.route.Repeatable, Again: x.plan().Hedges(x.ran),
 		Rank: x.rank(), Began: x.began, Aim: x.route.Aim, Deadline: x.deadline, Not: x.tried,
-		Bytes: x.pace.size(),
+		Bytes: x.pace.size(), Halls: x.halls,
 	}
 }
 
--- a/node/front.go
+++ b/node/front.go
@@ -86,6 +86,7 @@
 	}
 	x := newExchange(n, w, r, route, n.platform.Speech.Headers)
 	x.keyed = t.Access != nil
+	x.halls = n.hallsFor(route, space)
 	if problem := x.late(NotRun); problem != nil || space == nil {
 		return x, problem
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -269,7 +269,7 @@
 		every(ctx, purgeEvery, func(context.Context) { n.conns.Purge() }),
 		start(ctx, n.suspects.write),
 	}
-	for _, k := range n.kinds() {
+	for _, k := range n.watched() {
 		parts = append(parts, start(ctx, func(ctx context.Context) { n.duty.watch(ctx, k) }))
 	}
 	if n.settings().Node.Operators != "" {
@@ -278,9 +278,14 @@
 	return parts
 }
 
-// kinds are the kinds of records that the node follows. Documents are followed where operators can
-// write them.
+// kinds are the kinds of records that the node holds.
 func (n *Node) kinds() []store.Kind {
+	return append(n.watched(), store.Evacuations)
+}
+
+// watched are the kinds of records that the node follows; others come with one of them. Documents are followed where
+// operators can write them.
+func (n *Node) watched() []store.Kind {
 	kinds := []store.Kind{store.State, store.Targets, store.Suspects}
 	if n.settings().Node.Operators != "" {
 		kinds = append(kinds, store.Documents)
--- a/node/peers.go
+++ b/node/peers.go
@@ -112,7 +112,9 @@
 		Known: uint32(n.quotas.known.see(len(n.members.Live())+1, n.clock.Now())),
 	}
 	for _, theirs := range req.Msg.GetKinds() {
-		if k := store.Kind(theirs.GetKind()); k == store.State && p.differs(theirs) && p.sendsState(theirs, req.Msg.GetPulls()) {
+		switch k := store.Kind(theirs.GetKind()); {
+		case !p.differs(theirs):
+		case k == store.State && p.sendsState(theirs, req.Msg.GetPulls()), k == store.Evacuations:
 			res.Records = append(res.Records, n.records.wire(k, n.records.sets[k].All()))
 		}
 	}
@@ -124,7 +126,7 @@
 			res.Reports = n.services.reports()
 		}
 		for _, theirs := range req.Msg.GetKinds() {
-			if k := store.Kind(theirs.GetKind()); k != store.State && p.differs(theirs) {
+			if k := store.Kind(theirs.GetKind()); k != store.State && k != store.Evacuations && p.differs(theirs) {
 				res.Records = append(res.Records, n.records.wire(k, n.records.sets[k].Differing(theirs.GetSums())))
 			}
 		}
--- a/node/records.go
+++ b/node/records.go
@@ -61,7 +61,7 @@
 
 func newRecords(n *Node) *records {
 	r := &records{node: n, sets: map[store.Kind]*replica.Set{}, first: make(chan struct{}), decoded: decoded{touched: map[string]bool{}, services: map[string]bool{}}}
-	for _, k := range []store.Kind{store.State, store.Targets, store.Documents, store.Suspects} {
+	for _, k := range []store.Kind{store.State, store.Targets, store.Documents, store.Suspects, store.Evacuations} {
 		r.sets[k] = replica.New(n.clock)
 	}
 	r.book.Store(newBook(nil))
@@ -105,11 +105,13 @@
 		r.tellTargets(news, from)
 	case store.Suspects:
 		r.node.suspects.take(news, from)
+	case store.Evacuations:
+		r.tellEvacuations(news, from)
 	}
 	switch k {
 	case store.Targets:
 		r.node.services.targetsChanged()
-	case store.State, store.Documents:
+	case store.State, store.Documents, store.Evacuations:
 		r.node.services.refresh()
 	}
 	if k != store.Targets && from != fromStore {
--- a/node/services.go
+++ b/node/services.go
@@ -57,6 +57,8 @@
 	byName map[string]*service
 	// members is the version of the members that the targets were last looked at with.
 	members, carriers uint64
+	// sends says whether this node might send to cold targets then.
+	sends bool
 	// refreshedAt is when the targets were last looked at, and stale says that some have changed since.
 	refreshedAt clock.Millis
 	stale       bool
@@ -145,6 +147,8 @@
 		carried[name] = s.node.carriers.carries(name)
 	}
 	s.turns.begin(s.node.carriers)
+	place := s.node.placing()
+	region := s.node.settings().RegionOf(s.node.hall())
 	for _, t := range known {
 		if only != nil && !only[t.service] {
 			continue
@@ -154,9 +158,11 @@
 		if carried[t.service] && (near || !slices.Contains(halls, t.hall)) {
 			turn = s.turns.of(t, near)
 		}
+		until, rate := place.cold(t, turn)
 		byService[t.service] = append(byService[t.service], pool.Target{
-			ID: t.id, Address: t.address, Slots: t.slots, Leaving: t.leaving, WarmAt: t.warmAt, Life: t.life,
-			Hall: t.hall, Near: near, Ours: turn >= 0, Turn: max(turn, 0),
+			ID: t.id, Address: t.address, Slots: t.slots, Leaving: t.leaving, WarmAt: max(t.warmAt, until), Life: t.life,
+			Hall: t.hall, Near: near, Ours: turn >= 0, Turn: max(turn, 0), Away: s.node.settings().RegionOf(t.hall) != region,
+			Evacuated: place.evacuations[t.hall].inForce, ColdUntil: until, ColdRate: rate,
 		})
 	}
 	return byService
@@ -351,12 +357,14 @@
 func (s *services) tick() {
 	s.mu.Lock()
 	v, g := s.node.members.Version(), s.node.carriers.changes()
-	changed, stale := v != s.members || g != s.carriers, s.stale
-	s.members, s.carriers = v, g
+	sends := s.node.coldView().Sends()
+	changed, stale := v != s.members || g != s.carriers || sends != s.sends, s.stale
+	s.members, s.carriers, s.sends = v, g, sends
 	s.mu.Unlock()
 	s.refreshLoad()
 	s.tellSums()
 	s.tellIdle()
+	s.wake()
 	s.deal()
 	switch {
 	case changed:
@@ -367,6 +375,13 @@
 	}
 }
 
+// wake gives requests to cold targets as their rates allow.
+func (s *services) wake() {
+	for _, svc := range s.all() {
+		svc.pool.Wake()
+	}
+}
+
 // tellSums tells the log of the requests of each service now and then.
 func (s *services) tellSums() {
 	now := s.node.clock.Now()
--- a/node/spread.go
+++ b/node/spread.go
@@ -22,7 +22,7 @@
 // watch tells of its sums alone: each hall has one that does, and if all that ask for themselves sent what they
 // find to all, a store that comes back would have as many copies sent as there are pairs of nodes.
 func (d *duty) spread(k store.Kind, news []replica.Record) {
-	if d.rank() > 0 && k != store.State {
+	if d.rank() > 0 && k != store.State && k != store.Evacuations {
 		d.confirm()
 		return
 	}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -24,11 +24,18 @@
 	Bytes float64
 	// Not are targets that the request has been at.
 	Not []ident.Target
+	// Halls are those whose targets may have the request; nil stands for all.
+	Halls map[ident.Hall]bool
+}
+
+// mayUse says whether the request may go to the target, now or later.
+func (p *Pool) mayUse(t *target, a *Ask, now clock.Millis) bool {
+	return p.usable(t, now) && (a.Halls == nil || a.Halls[t.Hall]) && !slices.Contains(a.Not, t.ID)
 }
 
 // usable says whether the target may be given work.
 func (p *Pool) usable(t *target, now clock.Millis) bool {
-	return !t.gone && !t.Leaving && !t.left && now >= t.blockedUntil
+	return !t.gone && !t.Leaving && !t.left && now >= t.blockedUntil && !t.closed(now)
 }
 
 // inFlight returns what all nodes are known to have at the target.
@@ -103,13 +110,13 @@
 // queueWait is how long a request waits in this node's queue before one of the targets that are
 // known to be sound has a slot for it.
 func (p *Pool) queueWait(now clock.Millis) float64 {
-	slots := 0
+	slots := 0.0
 	for _, t := range p.order {
 		if p.usable(t, now) && t.belief.Failing(&p.tuning.Model, now) < p.tuning.KnownBelow {
-			slots += t.Slots
+			slots += p.slots(t, now)
 		}
 	}
-	return float64(p.waiting.Len()) * p.serviceTime / float64(max(slots, 1))
+	return float64(p.waiting.Len()) * p.serviceTime / max(slots, 1)
 }
 
 // waitAt is how long a request waits for a slot at a target, behind those that are queued here.
@@ -141,7 +148,7 @@
 	var room, full bool // of the best so far: has it a slot, and may it have no more?
 	queued := p.queueWait(now)
 	for _, t := range p.order {
-		if !p.usable(t, now) || slices.Contains(a.Not, t.ID) {
+		if !p.mayUse(t, a, now) || !t.admits(now) {
 			continue
 		}
 		n := p.inFlight(t, now)
--- a/pool/explore.go
+++ b/pool/explore.go
@@ -1,10 +1,6 @@
 package pool
 
-import (
-	"slices"
-
-	"github.com/tinladder/tinladder/clock"
-)
+import "github.com/tinladder/tinladder/clock"
 
 // A Reason says why a target was chosen.
 type Reason int
@@ -34,7 +30,7 @@
 	n, sparse := p.spreadNeed(now), p.sparse(now)
 	narrow, short := !sparse && p.narrow(n, now), p.short(now)
 	for _, t := range p.order {
-		if !t.Ours || !p.usable(t, now) || slices.Contains(a.Not, t.ID) || p.inFlight(t, now) >= t.Slots {
+		if !t.Ours || !p.mayUse(t, a, now) || !t.admits(now) || p.inFlight(t, now) >= t.Slots {
 			continue
 		}
 		r := p.due(t, a, narrow && p.owed(t, n, now), short, now)
--- a/pool/floor.go
+++ b/pool/floor.go
@@ -23,7 +23,7 @@
 	for _, t := range p.order {
 		t.kept = false
 		switch {
-		case t.gone || t.Leaving || t.left:
+		case t.gone || t.Leaving || t.left || t.closed(now):
 		case t.avoided:
 			avoided = append(avoided, t)
 		default:
--- a/pool/idle.go
+++ b/pool/idle.go
@@ -28,7 +28,7 @@
 		return nil, false
 	}
 	for _, t := range p.order {
-		if !t.Ours || t.gone || t.Leaving || t.left || now-p.workedAt(t, now) <= p.tuning.SpreadIdle {
+		if !t.Ours || t.gone || t.Leaving || t.left || t.closed(now) || now-p.workedAt(t, now) <= p.tuning.SpreadIdle {
 			continue
 		}
 		idle = append(idle, IdleTarget{
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -41,6 +41,9 @@
 	}
 	p.begun.count(now, Served)
 	t.mine++
+	if t.cold(now) {
+		t.sent.take(now, t.ColdRate)
+	}
 	t.triedAt = now
 	t.changed = true
 	l.InFlight, l.Slots = p.inFlight(t, now), t.Slots
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -47,6 +47,14 @@
 	Leaving bool
 	// WarmAt is until when the target is slow from its start.
 	WarmAt clock.Millis
+	// ColdUntil is until when what it gets from all nodes together is bounded, and ColdRate this node's part of that by
+	// the second; 0 if it may send none.
+	ColdUntil clock.Millis
+	ColdRate  float64
+	// Evacuated targets are in a hall that is to get nothing.
+	Evacuated bool
+	// Away targets are in another region than this node.
+	Away bool
 }
 
 // An Outcome says how an attempt ended.
@@ -133,6 +141,8 @@
 	usedAt, triedAt clock.Millis
 	gone            bool
 	changed         bool
+	// sent is what this node gave it while it was cold.
+	sent bucket
 	// toldAt is when the other nodes were last told of it.
 	toldAt clock.Millis
 }
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -3,7 +3,6 @@
 import (
 	"container/list"
 	"context"
-	"slices"
 	"time"
 
 	"github.com/tinladder/tinladder/clock"
@@ -92,7 +91,7 @@
 func (p *Pool) anyUsable(a *Ask) bool {
 	now := p.clock.Now()
 	for _, t := range p.order {
-		if p.usable(t, now) && !slices.Contains(a.Not, t.ID) {
+		if p.mayUse(t, a, now) {
 			return true
 		}
 	}
@@ -120,8 +119,8 @@
 	now := p.clock.Now()
 	over, slots := 0, 0.0
 	for _, t := range p.order {
-		if p.usable(t, now) {
-			slots += float64(t.Slots) * (1 - t.belief.Failing(&p.tuning.Model, now))
+		if p.usable(t, now) && (a.Halls == nil || a.Halls[t.Hall]) {
+			slots += p.slots(t, now) * (1 - t.belief.Failing(&p.tuning.Model, now))
 			over += max(p.inFlight(t, now)-t.Slots, 0)
 		}
 	}
--- a/pool/status.go
+++ b/pool/status.go
@@ -15,11 +15,13 @@
 	Blocked
 	// Leaving targets take no new work.
 	Leaving
+	// Closed targets get nothing from this node: their hall is evacuated, or another node sends to them while they are cold.
+	Closed
 )
 
 // String returns the condition's name in reports.
 func (c Condition) String() string {
-	return [...]string{"in-use", "avoided", "unreachable", "leaving"}[c]
+	return [...]string{"in-use", "avoided", "unreachable", "leaving", "closed"}[c]
 }
 
 // A Status struct is how one target stands on this node.
@@ -42,6 +44,8 @@
 		switch {
 		case t.Leaving || t.left:
 			s.Condition = Leaving
+		case t.closed(now):
+			s.Condition = Closed
 		case now < t.blockedUntil:
 			s.Condition = Blocked
 		case t.avoided && !t.kept:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -102,6 +102,13 @@
 	Slack     float64 `toml:"slack"`
 }
 
+// Cold bounds what a target gets that has started a short time ago, from all nodes together: in any second no more than
+// what it withstands, by the desired state, times Overshoot, and Slack.
+type Cold struct {
+	Overshoot float64 `toml:"overshoot"`
+	Slack     float64 `toml:"slack"`
+}
+
 // Operators says who may do everything.
 type Operators struct {
 	AdminTokenSHA256 string `toml:"admin_token_sha256"`
@@ -140,11 +147,14 @@
 	Bounds     Bounds     `toml:"bounds"`
 	Retries    Retries    `toml:"retries"`
 	Workspaces Workspaces `toml:"workspaces"`
-	Operators  Operators  `toml:"operators"`
-	Limits     Limits     `toml:"limits"`
-	Capacity   Capacity   `toml:"capacity"`
-	Log        Log        `toml:"log"`
-	Trial      Trial      `toml:"trial"`
+	Cold       Cold       `toml:"cold"`
+	// Halls says which region each hall is in. Those that are missing are in a region of their own.
+	Halls     map[string]string `toml:"halls"`
+	Operators Operators         `toml:"operators"`
+	Limits    Limits            `toml:"limits"`
+	Capacity  Capacity          `toml:"capacity"`
+	Log       Log               `toml:"log"`
+	Trial     Trial             `toml:"trial"`
 }
 
 // Defaults for what the file leaves out. The bounds are those of the users' platform.
@@ -161,12 +171,14 @@
 	defaultWindow      = 10 * clock.Second
 	defaultOvershoot   = 0.1
 	defaultQuotaSlack  = 20
-	defaultQuotaWindow = 5 * clock.Second
-	leastRevoke        = 1 * clock.Second
-	defaultCores       = 1
-	defaultLinkMbps    = 1000
-	minKeyBytes        = 16
-	hashBytes          = 32
+	// defaultColdOvershoot holds cold targets to what they withstand.
+	defaultColdOvershoot = 1
+	defaultQuotaWindow   = 5 * clock.Second
+	leastRevoke          = 1 * clock.Second
+	defaultCores         = 1
+	defaultLinkMbps      = 1000
+	minKeyBytes          = 16
+	hashBytes            = 32
 )
 
 // Defaults returns the settings of an empty file.
@@ -177,6 +189,7 @@
 		},
 		Retries:    Retries{Ratio: defaultRatio, Slack: defaultSlack, Window: Span(defaultWindow)},
 		Workspaces: Workspaces{Window: Span(defaultQuotaWindow), Overshoot: defaultOvershoot, Slack: defaultQuotaSlack},
+		Cold:       Cold{Overshoot: defaultColdOvershoot},
 		Limits:     Limits{Requests: defaultRequests, BodyBytes: defaultBodyBytes, HeaderBytes: defaultHeaderBytes},
 		Capacity:   Capacity{Cores: defaultCores, LinkMbps: defaultLinkMbps},
 		Log:        Log{Level: "info"},
@@ -282,6 +295,9 @@
 	if !(s.Workspaces.Overshoot >= 0) || !(s.Workspaces.Slack >= 0) {
 		c.add("workspaces", "overshoot %v and slack %v may not be negative", s.Workspaces.Overshoot, s.Workspaces.Slack)
 	}
+	if !(s.Cold.Overshoot >= 0) || !(s.Cold.Slack >= 0) {
+		c.add("cold", "overshoot %v and slack %v may not be negative", s.Cold.Overshoot, s.Cold.Slack)
+	}
 	c.positive("limits.requests", int64(s.Limits.Requests))
 	c.positive("limits.body_bytes", s.Limits.BodyBytes)
 	c.positive("limits.header_bytes", int64(s.Limits.HeaderBytes))
@@ -316,6 +332,17 @@
 	return keys
 }
 
+// RegionOf returns the region that the hall is in.
+func (s *Settings) RegionOf(h ident.Hall) ident.Region {
+	if r, found := s.Halls[string(h)]; found {
+		return ident.Region(r)
+	}
+	if string(h) == s.Node.Hall && s.Node.Region != "" {
+		return ident.Region(s.Node.Region)
+	}
+	return ident.Region(h)
+}
+
 // PeersAddress returns where others reach the node.
 func (n Node) PeersAddress() string {
 	if n.AdvertisePeers != "" {
--- a/store/store.go
+++ b/store/store.go
@@ -87,6 +87,9 @@
 	State Kind = "state"
 	// Targets are the targets that registered themselves.
 	Targets Kind = "targets"
+	// Evacuations are the halls whose targets are to get nothing, by their names. The platform's operators write them
+	// beside the State, and they come with it.
+	Evacuations Kind = "evacuations"
 	// Documents are what operators write through the fleet's own interface.
 	Documents Kind = "documents"
 	// Suspects are requests under which targets crashed, as nodes write them.
@@ -110,6 +113,8 @@
 // A Reply struct is what the store says of a kind's records.
 type Reply struct {
 	Records []replica.Record
+	// With are records of kinds that come with this one. If all were read, each kind there is has an entry.
+	With map[Kind][]replica.Record
 	// Mark is where to go on from: up to there the records are all there are.
 	Mark Mark
 	// Clock is what the store's own steady clock showed then; 0 if it tells none.
--- /dev/null
+++ b/warmup/model_test.go
@@ -0,0 +1,169 @@
+package warmup_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/tinladder/tinladder/assign"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/pool"
+	"github.com/tinladder/tinladder/warmup"
+)
+
+var limits = []warmup.Limit{
+	{PerSecond: 6, Overshoot: 1.5, Slack: 8}, {PerSecond: 2, Overshoot: 1.2, Slack: 5}, {PerSecond: 50, Overshoot: 1.5, Slack: 10},
+}
+
+// carrier is a node that might send to the target, with what it has heard of the others.
+type carrier struct {
+	name    ident.Node
+	pool    *pool.Pool
+	started clock.Millis
+	// heardAt is when it last heard each other one, and patience how long it takes each for alive without hearing it.
+	heardAt, patience map[int]clock.Millis
+	known             int
+}
+
+// model is a hall of carriers that all send to one cold target whatever they may.
+type model struct {
+	clock *clock.Manual
+	rand  *rand.Rand
+	limit warmup.Limit
+	nodes []*carrier
+	// part is which part of the fleet a node is in, and deaf which others it does not hear.
+	part []int
+	deaf map[[2]int]bool
+	sent []clock.Millis
+}
+
+func newModel(seed uint64, l warmup.Limit, nodes int) *model {
+	m := &model{clock: clock.NewManual(10_000), rand: rand.New(rand.NewPCG(seed, 1)), limit: l, part: make([]int, nodes), deaf: map[[2]int]bool{}}
+	for i := range nodes {
+		m.nodes = append(m.nodes, m.start(i))
+		m.nodes[i].started = 0
+		for j := range nodes {
+			m.nodes[i].heardAt[j] = m.clock.Now()
+		}
+	}
+	return m
+}
+
+func (m *model) start(i int) *carrier {
+	c := &carrier{
+		name: ident.Node(fmt.Sprint("n", i)), started: m.clock.Now(), heardAt: map[int]clock.Millis{}, patience: map[int]clock.Millis{},
+		known: len(m.part),
+	}
+	for j := range m.part {
+		c.patience[j] = 400 + clock.Millis(m.rand.Int64N(1500))
+	}
+	b := pool.NewBudget(m.clock, 0.2, 100, 10*clock.Second)
+	c.pool = pool.New(pool.DefaultTuning, m.clock, m.rand, b, func(pool.News, ident.Hall) {}, func(pool.Event) {})
+	return c
+}
+
+// look has a node take over what it hears.
+func (m *model) look(i int) {
+	c := m.nodes[i]
+	now := m.clock.Now()
+	candidates := []assign.Candidate{{Node: c.name, Weight: assign.FullWeight}}
+	for j, o := range m.nodes {
+		if j == i {
+			continue
+		}
+		if m.part[i] == m.part[j] && !m.deaf[[2]int{i, j}] {
+			c.heardAt[j] = now
+		}
+		if at, met := c.heardAt[j]; met && now-at < c.patience[j] {
+			candidates = append(candidates, assign.Candidate{Node: o.name, Weight: assign.FullWeight})
+		}
+	}
+	v := warmup.View{
+		First: assign.Duty("target", candidates, c.name) == 0, Live: len(candidates), Known: c.known, Met: now-c.started >= 2*clock.Second,
+	}
+	c.pool.SetTargets([]pool.Target{{ID: "t", Slots: 1000, Near: true, ColdUntil: now + clock.Minute, ColdRate: m.limit.Rate(v)}})
+}
+
+// trouble cuts, mends and ends nodes.
+func (m *model) trouble() {
+	switch m.rand.IntN(5) {
+	case 0: // the fleet is cut into parts
+		parts := 1 + m.rand.IntN(4)
+		for i := range m.part {
+			m.part[i] = m.rand.IntN(parts)
+		}
+	case 1: // packets go one way only
+		for range len(m.part) {
+			m.deaf[[2]int{m.rand.IntN(len(m.part)), m.rand.IntN(len(m.part))}] = true
+		}
+	case 2:
+		clear(m.deaf)
+	case 3: // a few start again
+		for range 1 + m.rand.IntN(3) {
+			i := m.rand.IntN(len(m.nodes))
+			m.nodes[i] = m.start(i)
+		}
+	case 4: // all start again
+		if m.rand.IntN(10) == 0 {
+			for i := range m.nodes {
+				m.nodes[i] = m.start(i)
+			}
+		}
+	}
+}
+
+func (m *model) send(c *carrier) {
+	now := m.clock.Now()
+	for {
+		l := c.pool.TryAcquire(&pool.Ask{Began: now, Aim: 1000, Deadline: now + clock.Minute})
+		if l == nil {
+			return
+		}
+		l.Done(pool.Good, false)
+		m.sent = append(m.sent, now)
+	}
+}
+
+// most returns the most sends in any second.
+func (m *model) most() (most int) {
+	from := 0
+	for i, at := range m.sent {
+		for at-m.sent[from] >= clock.Second {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+// TestColdTargetsAreNotOverrun has all nodes of a hall send what they may to one cold target, while the fleet is cut into
+// parts, packets go one way, and nodes start again: in any second it gets no more than its bound from all of them together.
+// It also says that the target gets work while nothing is wrong.
+func TestColdTargetsAreNotOverrun(t *testing.T) {
+	for _, l := range limits {
+		for _, nodes := range []int{3, 8, 40} {
+			for seed := range uint64(12) {
+				m := newModel(seed, l, nodes)
+				for step := range 1500 {
+					if step > 100 && m.rand.IntN(20) == 0 {
+						m.trouble()
+					}
+					for i, c := range m.nodes {
+						if step%5 == i%5 {
+							m.look(i)
+						}
+						m.send(c)
+					}
+					m.clock.Advance(20)
+				}
+				if got := float64(m.most()); got > l.Most() {
+					t.Errorf("limit %v, %d nodes, seed %d: %v requests in a second, %v allowed", l, nodes, seed, got, l.Most())
+				}
+				if len(m.sent) == 0 {
+					t.Errorf("limit %v, %d nodes, seed %d: the target got nothing", l, nodes, seed)
+				}
+			}
+		}
+	}
+}
