Log: records of targets and beliefs by others' word are told one by one 16 a second, then counted

One line a second counts the rest (target_records from=all, target_beliefs). What a node sees itself is still told in full. Test: TestLinesAreBounded.

--- /dev/null
+++ b/logs/budget.go
@@ -0,0 +1,50 @@
+package logs
+
+import (
+	"sync"
+
+	"github.com/tinladder/tinladder/clock"
+)
+
+// A Budget bounds the lines of one kind: so many a second are written, the others are counted and told of in one line. What
+// a node hears of grows with the fleet, and its log must not. It is safe for concurrent use.
+type Budget struct {
+	clock     clock.Clock
+	perSecond int
+
+	mu      sync.Mutex
+	second  clock.Millis
+	used    int
+	skipped int
+}
+
+// NewBudget returns a budget of so many lines a second.
+func NewBudget(c clock.Clock, perSecond int) *Budget {
+	return &Budget{clock: c, perSecond: perSecond}
+}
+
+// Take says whether a line may be written now, and counts it otherwise.
+func (b *Budget) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.clock.Now() / clock.Second; s != b.second {
+		b.second, b.used = s, 0
+	}
+	if b.used < b.perSecond {
+		b.used++
+		return true
+	}
+	b.skipped++
+	return false
+}
+
+// Skipped returns how many lines were not written since it was last called, once the second in which they came is over.
+func (b *Budget) Skipped() (count int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.clock.Now()/clock.Second == b.second {
+		return 0
+	}
+	count, b.skipped = b.skipped, 0
+	return count
+}
--- /dev/null
+++ b/logs/budget_test.go
@@ -0,0 +1,29 @@
+package logs_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/logs"
+)
+
+// TestLinesAreBounded has 10,000 records come in one second, as to a node of a large fleet that starts: it wrote a line for
+// each of them.
+func TestLinesAreBounded(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(5000)
+	b := logs.NewBudget(c, 16)
+	written := 0
+	for range 10_000 {
+		if b.Take() {
+			written++
+		}
+	}
+	is.Equal(written, 16)
+	is.Equal(b.Skipped(), 0) // the second is not over
+	c.Advance(clock.Second)
+	is.Equal(b.Skipped(), 10_000-16)
+	is.Equal(b.Skipped(), 0)
+	is.True(b.Take())
+}
--- a/node/node.go
+++ b/node/node.go
@@ -300,6 +300,7 @@
 	n.duty.tick()
 	n.demand.tick()
 	n.services.tick()
+	n.records.tick()
 	n.quotas.tick()
 	n.watch.tick()
 	n.traffic.tick()
--- a/node/records.go
+++ b/node/records.go
@@ -14,6 +14,7 @@
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/desired"
 	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/logs"
 	"github.com/tinladder/tinladder/replica"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"github.com/tinladder/tinladder/store"
@@ -36,6 +37,8 @@
 	refused atomic.Pointer[store.Refusal]
 	// decoded are the targets as they were last asked for.
 	decoded decoded
+	// lines bounds how many records of targets the log is told of one by one.
+	lines *logs.Budget
 	// mu keeps changes from being taken over out of order.
 	mu sync.Mutex
 }
@@ -60,7 +63,7 @@
 }
 
 func newRecords(n *Node) *records {
-	r := &records{node: n, sets: map[store.Kind]*replica.Set{}, first: make(chan struct{}), decoded: decoded{touched: map[string]bool{}, services: map[string]bool{}}}
+	r := &records{node: n, lines: logs.NewBudget(n.clock, detailed), sets: map[store.Kind]*replica.Set{}, first: make(chan struct{}), decoded: decoded{touched: map[string]bool{}, services: map[string]bool{}}}
 	for _, k := range []store.Kind{store.State, store.Targets, store.Documents, store.Suspects, store.Evacuations} {
 		r.sets[k] = replica.New(n.clock)
 	}
@@ -213,7 +216,7 @@
 	return r.table.Load()
 }
 
-// detailed is the most target records at once that are told of one by one.
+// detailed is the most records of targets in a second that are told of one by one.
 const detailed = 16
 
 // tellTargets tells the log of targets that came, changed or went.
@@ -227,7 +230,16 @@
 		return
 	}
 	for _, x := range news {
-		r.tellTarget(x, from)
+		if r.lines.Take() {
+			r.tellTarget(x, from)
+		}
+	}
+}
+
+// tick tells the log how many records of targets came besides those that it was told of.
+func (r *records) tick() {
+	if more := r.lines.Skipped(); more > 0 {
+		r.node.log.WithFields(logrus.Fields{"event": "target_records", "count": more, "newest": r.sets[store.Targets].Newest(), "from": "all"}).Info()
 	}
 }
 
--- a/node/services.go
+++ b/node/services.go
@@ -12,6 +12,7 @@
 	"github.com/tinladder/tinladder/assign"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/logs"
 	"github.com/tinladder/tinladder/pool"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
@@ -68,10 +69,15 @@
 	turns *turns
 	// most is how many nodes there were of late.
 	most peak
+	// lines bounds how many changes of belief by others' word the log is told of one by one.
+	lines *logs.Budget
 }
 
+// toldBeliefs is the most changes of belief by others' word in a second that are told of one by one.
+const toldBeliefs = 16
+
 func newServices(n *Node) *services {
-	return &services{node: n, byName: map[string]*service{}, most: peak{keep: knownFor}, turns: newTurns(n.self.Node)}
+	return &services{node: n, byName: map[string]*service{}, most: peak{keep: knownFor}, turns: newTurns(n.self.Node), lines: logs.NewBudget(n.clock, toldBeliefs)}
 }
 
 // get returns the service, making it if there is none.
@@ -382,9 +388,12 @@
 	}
 }
 
-// tellSums tells the log of the requests of each service now and then.
+// tellSums tells the log of the requests of each service now and then, and of what was not told one by one.
 func (s *services) tellSums() {
 	now := s.node.clock.Now()
+	if more := s.lines.Skipped(); more > 0 {
+		s.node.log.WithFields(logrus.Fields{"event": "target_beliefs", "count": more, "by": "peers"}).Info()
+	}
 	for _, svc := range s.all() {
 		if f := svc.tally.sum(now); f != nil {
 			st := svc.pool.Stats()
@@ -460,9 +469,11 @@
 // not that node itself. Only the nodes that carry or use a service hear of its targets.
 func (s *services) note(svc *service, e pool.Event) {
 	s.node.metrics.belief(e.Kind)
-	s.node.log.WithFields(logrus.Fields{
-		"event": e.Kind, "service": svc.name, "target": e.Target, "failing": fmt.Sprintf("%.2f", e.Failing), "by": e.By,
-	}).Info()
+	if e.By == "" || s.lines.Take() {
+		s.node.log.WithFields(logrus.Fields{
+			"event": e.Kind, "service": svc.name, "target": e.Target, "failing": fmt.Sprintf("%.2f", e.Failing), "by": e.By,
+		}).Info()
+	}
 	kind, told := eventKinds[e.Kind]
 	name, err := ident.ParseService(svc.name)
 	if !told || err != nil {
