Targets are held ready by the nodes that carry a service or were asked for it of late; the rest hold their records

Cause: each node kept a pool of all targets and looked at all of them at each change of members, of slots or of targets, however few callers it had: of 986 nodes some 20 carry the services. A node that is asked without carrying fills its pool at once and follows changes for 30 s. All targets are looked at anew only when who carries what, the halls or the right to send to cold targets have changed (layout), not at each change of members.

--- a/node/carriers.go
+++ b/node/carriers.go
@@ -64,16 +64,15 @@
 	return list
 }
 
-// setSlots says how many slots the targets of each service have, and returns whether that is news.
-func (c *carriers) setSlots(slots map[string]int) bool {
+// setSlots says how many slots the targets of each service have.
+func (c *carriers) setSlots(slots map[string]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if maps.Equal(c.slots, slots) {
-		return false
+		return
 	}
 	c.slots = slots
 	c.generation++
-	return true
 }
 
 // groupOf returns the service's group. Each of the fleet's own services is one by itself.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -85,7 +85,8 @@
 	}
 	m.set.NewGauge("tinladder_queue_waiting", sum(func(s pool.Stats) int { return s.Waiting }))
 	m.set.NewGauge("tinladder_requests_in_flight", sum(func(s pool.Stats) int { return s.InFlight }))
-	m.set.NewGauge("tinladder_targets", sum(func(s pool.Stats) int { return s.Targets }))
+	m.set.NewGauge("tinladder_targets", func() float64 { return float64(n.services.count()) })
+	m.set.NewGauge("tinladder_targets_ready", sum(func(s pool.Stats) int { return s.Targets }))
 	m.set.NewGauge("tinladder_targets_usable", sum(func(s pool.Stats) int { return s.Usable }))
 	m.set.NewGauge("tinladder_requests_suspected", func() float64 { return float64(len(n.suspects.list.All())) })
 	m.set.NewGauge("tinladder_members", func() float64 { return float64(len(n.members.Live())) })
--- /dev/null
+++ b/node/need_test.go
@@ -0,0 +1,41 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/platform/standin"
+)
+
+// TestTargetsAreHeldReadyByNeed starts 24 nodes, of which a few carry the service, and asks one that does not. Each node kept
+// a pool of all targets and looked at all of them at each change, however few callers it had: the cost of one node grew with
+// the targets of the whole fleet.
+func TestTargetsAreHeldReadyByNeed(t *testing.T) {
+	is := is.New(t)
+	f := newFleetWith(t, 24, func(int) string { return "\n[log]\nlevel = \"info\"\n" })
+	f.calm(1)
+	const targets = 12
+	for i := range targets {
+		f.target(fmt.Sprint("t", i), "desk")
+	}
+	f.ready(1, targets)
+	var ready, idle []*testNode
+	for _, n := range f.nodes {
+		if f.sumOf(n, "tinladder_targets_ready") > 0 {
+			ready = append(ready, n)
+		} else {
+			idle = append(idle, n)
+		}
+	}
+	is.True(len(ready) >= 2)
+	is.True(len(ready) <= len(f.nodes)/2)
+	n := idle[0]
+	for i := range 20 {
+		is.Equal(f.call(n, http.MethodGet, "/get/a", fmt.Sprint("r", i), "").status, http.StatusOK)
+	}
+	is.Equal(int(f.sumOf(n, "tinladder_targets_ready")), targets)
+	f.store.Put("servers", "more", standin.TargetRow("127.0.0.1:9", "desk", "h0", "draining", 3))
+	f.eventually("it follows changes from then on", func() bool { return int(f.sumOf(n, "tinladder_targets_ready")) == targets+1 })
+}
--- a/node/services.go
+++ b/node/services.go
@@ -6,8 +6,10 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/assign"
 	"github.com/tinladder/tinladder/clock"
@@ -46,6 +48,9 @@
 	sharers *assign.Sharers
 	// idleAt is when targets without work were last looked for; the tick alone uses it.
 	idleAt clock.Millis
+	// askedAt is when a request last came for the service, in milliseconds, and filled says that the pool has its targets.
+	askedAt atomic.Int64
+	filled  atomic.Bool
 }
 
 // services holds the pools of this node.
@@ -53,6 +58,8 @@
 	node *Node
 	// refreshing is held while targets are looked at.
 	refreshing sync.Mutex
+	// laid is who carries what, as of the last look at all targets; it is held with refreshing.
+	laid uint64
 
 	mu     sync.Mutex
 	byName map[string]*service
@@ -80,7 +87,7 @@
 	return &services{node: n, byName: map[string]*service{}, most: peak{keep: knownFor}, turns: newTurns(n.self.Node), lines: logs.NewBudget(n.clock, toldBeliefs)}
 }
 
-// get returns the service, making it if there is none.
+// get returns the service that a request is for, making it if there is none, with its targets.
 func (s *services) get(name string) *service {
 	s.mu.Lock()
 	svc := s.byName[name]
@@ -88,9 +95,34 @@
 		svc = s.add(name)
 	}
 	s.mu.Unlock()
+	svc.askedAt.Store(int64(s.node.clock.Now()))
+	if !svc.filled.Load() {
+		s.refreshing.Lock()
+		defer s.refreshing.Unlock()
+		if !svc.filled.Load() {
+			s.fill(svc, s.targets(s.known(), map[string]bool{name: true})[name])
+		}
+	}
 	return svc
 }
 
+// fill gives the service's pool its targets.
+func (s *services) fill(svc *service, targets []pool.Target) {
+	svc.pool.SetFloor(int(s.node.records.book.Load().services[svc.name].GetService().GetFloorSlots()))
+	svc.pool.SetTargets(targets)
+	svc.filled.Store(true)
+}
+
+// keepFor is how long a node that does not carry a service keeps its targets ready after a request for it.
+const keepFor = 30 * clock.Second
+
+// needs says whether this node holds the service's targets ready: it carries the service, or was asked for it of late. The
+// others of a hall, which are most, hold the records alone.
+func (s *services) needs(svc *service) bool {
+	at := clock.Millis(svc.askedAt.Load())
+	return at > 0 && s.node.clock.Now()-at < keepFor || s.node.carriers.carries(svc.name)
+}
+
 // add makes a service with the targets that are known. The caller holds the lock.
 func (s *services) add(name string) *service {
 	n := s.node
@@ -100,7 +132,6 @@
 	svc.pool = pool.New(n.tuning, n.clock, newRand(), b, func(w pool.News, of ident.Hall) { s.report(svc, w, of) },
 		func(e pool.Event) { s.note(svc, e) })
 	s.byName[name] = svc
-	svc.pool.SetTargets(s.targets(s.known(), map[string]bool{name: true})[name])
 	return svc
 }
 
@@ -220,10 +251,10 @@
 	for _, t := range known {
 		slots[t.service] += t.slots
 	}
-	if s.node.carriers.setSlots(slots) { // whose part a target is depends on it
-		touched = nil
+	s.node.carriers.setSlots(slots)
+	if laid := s.layout(); laid != s.laid { // whose part a target is depends on it
+		touched, s.laid = nil, laid
 	}
-	targets := s.targets(known, touched)
 	s.mu.Lock()
 	for _, name := range s.named() {
 		if s.byName[name] == nil {
@@ -231,14 +262,64 @@
 		}
 	}
 	s.mu.Unlock()
-	book := s.node.records.book.Load()
+	needed := map[string]bool{}
 	for _, svc := range s.all() {
-		if touched != nil && !touched[svc.name] {
-			continue
+		switch {
+		case s.needs(svc):
+			needed[svc.name] = touched == nil || touched[svc.name] || !svc.filled.Load()
+		case svc.filled.Swap(false):
+			svc.pool.SetTargets(nil)
+		}
+	}
+	targets := s.targets(known, needed)
+	for _, svc := range s.all() {
+		if needed[svc.name] {
+			s.fill(svc, targets[svc.name])
+		}
+	}
+}
+
+// count returns how many targets requests may go to by what this node knows, whether it holds them ready or not.
+func (s *services) count() (targets int) {
+	held := map[string]bool{}
+	for _, svc := range s.all() {
+		if svc.filled.Load() {
+			held[svc.name] = true
+			targets += svc.pool.Stats().Targets
+		}
+	}
+	for _, t := range s.known() {
+		if !held[t.service] {
+			targets++
 		}
-		svc.pool.SetFloor(int(book.services[svc.name].GetService().GetFloorSlots()))
-		svc.pool.SetTargets(targets[svc.name])
 	}
+	return targets
+}
+
+// layout sums up who carries what, in which halls, and whether this node sends to cold targets: with the same, targets that
+// have not changed are used as before.
+func (s *services) layout() uint64 {
+	x := xxhash.New()
+	for _, h := range s.node.carriers.halls() {
+		_, _ = x.WriteString(string(h) + "\x00")
+	}
+	for _, name := range slices.Sorted(slices.Values(s.named())) {
+		_, _ = x.WriteString(name + "\x01")
+		for _, m := range s.node.carriers.all(name) {
+			_, _ = x.WriteString(m.GetNode() + "\x00")
+		}
+	}
+	if s.node.coldView().Sends() {
+		_, _ = x.WriteString("\x02")
+	}
+	return x.Sum64()
+}
+
+// relaid says whether targets are to be used in another way than at the last look at all of them.
+func (s *services) relaid() bool {
+	s.refreshing.Lock()
+	defer s.refreshing.Unlock()
+	return s.layout() != s.laid
 }
 
 // named returns the services that the desired state and the documents name.
@@ -374,7 +455,11 @@
 	s.deal()
 	switch {
 	case changed:
-		s.refresh() // a hall may have come or gone
+		if s.relaid() {
+			s.refresh()
+		} else if stale {
+			s.refreshTouched()
+		}
 		s.welcome()
 	case stale:
 		s.refreshTouched()
@@ -442,7 +527,7 @@
 	s.mu.Lock()
 	svc := s.byName[r.GetService()]
 	s.mu.Unlock()
-	if svc == nil {
+	if svc == nil || !svc.filled.Load() {
 		return
 	}
 	from := ident.Process{Node: ident.Node(r.GetNode()), Incarnation: ident.Incarnation(r.GetIncarnation())}
