--- a/node/compares.go
+++ b/node/compares.go
@@ -14,6 +14,8 @@
 	// time in which the records are put together; the rest is for marshalling and compressing.
 	compareBytes    = 36 << 10
 	compareMeasured = 0.2
+	// compareLinkShare is the share of a node's link that answers may take.
+	compareLinkShare = 0.5
 )
 
 // compares bounds what this node does for others that lack records. Seeds are asked by all nodes that start, and a watcher
@@ -21,16 +23,20 @@
 // turned away ask others: what one node does for them does not grow with the fleet.
 type compares struct {
 	work *pacer.Work
-	// bytesPerMilli is how many bytes of answers the processor makes in a millisecond if it does nothing else.
-	bytesPerMilli float64
+	// bytesPerMilli is how many bytes of answers the processor makes in a millisecond if it does nothing else, and
+	// linkBytesPerMilli how many the link carries.
+	bytesPerMilli, linkBytesPerMilli float64
 }
 
-func newCompares(c clock.Clock, cores float64) *compares {
+func newCompares(c clock.Clock, cores, linkMbps float64) *compares {
 	part := pacer.Part{Share: compareShare, Measured: compareMeasured, Ahead: compareAhead}
-	return &compares{work: pacer.NewWork(c, part), bytesPerMilli: cores * compareBytes}
+	return &compares{work: pacer.NewWork(c, part), bytesPerMilli: cores * compareBytes, linkBytesPerMilli: linkMbps * bytesPerMilliMbps}
 }
 
-// give makes an answer, if there is room for one, and counts its bytes.
-func (c *compares) give(answer func() (bytes int)) {
-	c.work.Do(func() float64 { return float64(answer()) / c.bytesPerMilli })
+// give makes an answer, if there is room for one, and counts its bytes: those that were made, and those that are sent.
+func (c *compares) give(answer func() (made, sent int)) (given bool) {
+	return c.work.Do(func() float64 {
+		made, sent := answer()
+		return max(float64(made)/c.bytesPerMilli, float64(sent)/c.linkBytesPerMilli*compareShare/compareLinkShare)
+	})
 }
--- a/node/confirm.go
+++ b/node/confirm.go
@@ -148,10 +148,23 @@
 	}
 	// The first state comes by a comparison, with the targets: requests wait for it, and would find none.
 	if d.node.records.table.Load() == nil || !d.hearKinds(c.GetKinds(), c.GetPeerAddress(), far) {
-		d.node.peers.sync(c.GetPeerAddress(), false)
+		d.node.peers.sync(d.giver(c.GetPeerAddress(), far), false)
 	}
 }
 
+// giver returns the node to ask for what the one at the address holds and this one lacks. A node that has nothing yet asks
+// those of its own hall that carry much: what crosses halls costs the most, and they hear of it first.
+func (d *duty) giver(address string, far bool) string {
+	n := d.node
+	if !far || n.records.sets[store.Targets].Len() > 0 || n.isStrong(n.members.Self()) {
+		return address
+	}
+	if m := n.strongNode(); m != nil {
+		return m.GetPeerAddress()
+	}
+	return address
+}
+
 // hearKinds takes in how long ago the store held what the node at the address holds. It returns false if this
 // one should compare its records with that. A newer state is asked for; an older one is nothing to ask for, and
 // neither are older records of another hall.
--- a/node/node.go
+++ b/node/node.go
@@ -86,6 +86,7 @@
 	handOn   *handOn
 	pulls    *pulls
 	compares *compares
+	packs    *packs
 	wire     *wire
 	peers    *peers
 	conns    *forward.Conns
@@ -149,7 +150,8 @@
 	n.lag = newLag(n)
 	n.handOn = newHandOn(n.clock, s.Capacity.LinkMbps)
 	n.pulls = newPulls(n)
-	n.compares = newCompares(n.clock, s.Capacity.Cores)
+	n.compares = newCompares(n.clock, s.Capacity.Cores, s.Capacity.LinkMbps)
+	n.packs = newPacks(n)
 	n.events = newEventLog(n.self, n.platform.Objects, n.clock)
 	n.events.wanted = s.Node.Operators != ""
 	n.leaving = newLeaving(n)
--- a/node/peers.go
+++ b/node/peers.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -31,6 +33,11 @@
 	// it, and know as few.
 	startMerges clock.Millis = 200
 	startFor    clock.Millis = 1500
+	// mergeMembers is how many members such a comparison brings in startMerges: more take longer, since each of as many nodes
+	// brings all of them.
+	mergeMembers = 100
+	// membersTold is how many members a node tells the one that it compares itself with.
+	membersTold = 64
 	// joinFor is how long a node that knows nobody asks all its seeds at once, again and again.
 	joinFor = 2 * clock.Second
 	// peerIdle is how long connections to other nodes are kept.
@@ -90,7 +97,7 @@
 // peersDoor serves other nodes only.
 func (n *Node) peersDoor() http.Handler {
 	m := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	path, h := tinladderv1connect.NewFleetServiceHandler(n.peers)
+	path, h := tinladderv1connect.NewFleetServiceHandler(n.peers, connect.WithCompressMinBytes(math.MaxInt32)) // what is large is packed
 	m.PathPrefix(path).Handler(h)
 	m.PathPrefix("/").HandlerFunc(n.serveForPeer)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -102,8 +109,8 @@
 	})
 }
 
-// Sync implements the service that other nodes call. The desired state and members go to all that ask; other records and
-// reports, which are many, to as many as this node has room for.
+// Sync implements the service that other nodes call. The desired state, evacuations and members go to all that ask; other
+// records and reports, which are many, to as many as this node has room for.
 func (p *peers) Sync(_ context.Context, req *connect.Request[tlv1.SyncRequest]) (*connect.Response[tlv1.SyncResponse], error) {
 	n := p.node
 	n.members.Merge(req.Msg.GetMembers())
@@ -118,22 +125,120 @@
 			res.Records = append(res.Records, n.records.wire(k, n.records.sets[k].All()))
 		}
 	}
+	rest := res
+	if req.Msg.GetPacks() {
+		rest = &tlv1.SyncResponse{}
+	}
 	if !req.Msg.GetRecordsOnly() {
-		res.Members = n.members.All()
+		rest.Members = n.members.All()
+	}
+	given := p.giveMany(req.Msg, rest, res)
+	if rest != res {
+		p.pack(rest, res)
 	}
-	n.compares.give(func() int {
-		if !req.Msg.GetRecordsOnly() {
-			res.Reports = n.services.reports()
+	n.metrics.syncServed(len(res.Records) > 0 || given, proto.Size(res))
+	return connect.NewResponse(res), nil
+}
+
+// giveMany adds reports, and records of the kinds of which there are many, as far as this node has room for them: to the
+// rest, or whole sets as packs.
+func (p *peers) giveMany(req *tlv1.SyncRequest, rest, res *tlv1.SyncResponse) (given bool) {
+	n := p.node
+	if !req.GetRecordsOnly() {
+		n.compares.give(func() (made, sent int) {
+			rest.Reports = n.services.reports(req)
+			made = proto.Size(&tlv1.SyncResponse{Reports: rest.Reports})
+			return made, made
+		})
+	}
+	for _, theirs := range req.GetKinds() {
+		k := store.Kind(theirs.GetKind())
+		switch {
+		case k == store.State || k == store.Evacuations || !p.differs(theirs):
+		case req.GetPacks() && n.packs.wanted(k, theirs.GetSums()):
+			if x := p.givePack(k); x != nil {
+				res.Packs, given = append(res.Packs, x), true
+			}
+		default:
+			given = n.compares.give(func() (made, sent int) {
+				list := n.records.wire(k, n.records.sets[k].Differing(theirs.GetSums()))
+				rest.Records = append(rest.Records, list)
+				made = proto.Size(list)
+				return made, made
+			}) || given
 		}
-		for _, theirs := range req.Msg.GetKinds() {
-			if k := store.Kind(theirs.GetKind()); k != store.State && k != store.Evacuations && p.differs(theirs) {
-				res.Records = append(res.Records, n.records.wire(k, n.records.sets[k].Differing(theirs.GetSums())))
+	}
+	return given
+}
+
+// givePack returns all records of a kind as they are sent to a node that lacks most of them; nil if this node has no room
+// for that. One that carries little leaves it to those of its hall that carry the most.
+func (p *peers) givePack(k store.Kind) (given *tlv1.Pack) {
+	n := p.node
+	if !n.isStrong(n.members.Self()) {
+		return nil
+	}
+	n.compares.give(func() (made, sent int) {
+		x, found := n.packs.ready(k)
+		made = len(x.answer) / packFactor
+		if !found {
+			var err error
+			if x, made, err = n.packs.make(k); err != nil {
+				n.log.WithFields(logrus.Fields{"event": "records_not_packed", "kind": k, "error": err}).Error()
+				return made, 0
 			}
 		}
-		return proto.Size(res)
+		given = x.wire(n.clock.Now())
+		return made, len(x.answer)
 	})
-	n.metrics.syncServed(len(res.Records) > 0, proto.Size(res))
-	return connect.NewResponse(res), nil
+	return given
+}
+
+// leastSmall is how many bytes an answer must have to be compressed.
+const leastSmall = 1 << 10
+
+// pack adds the rest of an answer to it, compressed if that is worth it.
+func (p *peers) pack(rest, res *tlv1.SyncResponse) {
+	if proto.Size(rest) >= leastSmall {
+		answer, _, err := packed(rest)
+		if err == nil {
+			res.Packs = append(res.Packs, &tlv1.Pack{Answer: answer})
+			return
+		}
+		p.node.log.WithFields(logrus.Fields{"event": "records_not_packed", "error": err}).Error()
+	}
+	res.Members, res.Reports, res.Records = rest.Members, rest.Reports, append(res.Records, rest.Records...)
+}
+
+// isStrong says whether the member carries at least half of what the one of its hall does that carries the most.
+func (n *Node) isStrong(m *tlv1.Member) bool {
+	most := n.members.Self().GetWeight()
+	for _, o := range n.members.Live() {
+		if hallOf(o) == hallOf(m) {
+			most = max(most, o.GetWeight())
+		}
+	}
+	return 2*m.GetWeight() >= most
+}
+
+// strongNode returns a node of this hall by chance that carries much; nil if there is none.
+func (n *Node) strongNode() *tlv1.Member {
+	var most uint32
+	var strong []*tlv1.Member
+	for _, m := range n.members.Live() {
+		if hallOf(m) == n.hall() && isReady(m) {
+			most = max(most, m.GetWeight())
+		}
+	}
+	for _, m := range n.members.Live() {
+		if hallOf(m) == n.hall() && isReady(m) && 2*m.GetWeight() >= most {
+			strong = append(strong, m)
+		}
+	}
+	if len(strong) == 0 {
+		return nil
+	}
+	return strong[rand.IntN(len(strong))]
 }
 
 // differs says whether this node holds other records of a kind than the one that asks.
@@ -175,7 +280,8 @@
 	now := p.node.clock.Now()
 	p.mu.Lock()
 	joining := !p.joined && now-p.node.duty.since < joinFor
-	due := now-p.mergedAt >= mergeEvery || now-p.node.duty.since < startFor && now-p.mergedAt >= startMerges
+	pause := startMerges * clock.Millis(max(1, len(p.node.members.Live())/mergeMembers))
+	due := now-p.mergedAt >= mergeEvery || now-p.node.duty.since < startFor+pause && now-p.mergedAt >= pause
 	if due {
 		p.mergedAt = now
 	}
@@ -206,8 +312,8 @@
 	p.turnedAway = false
 	p.mu.Unlock()
 	if elsewhere {
-		if others := p.node.someNodes(); len(others) > 0 {
-			address = others[0].GetPeerAddress()
+		if m := p.node.strongNode(); m != nil {
+			address = m.GetPeerAddress()
 		}
 	}
 	go func() {
@@ -224,7 +330,7 @@
 	ctx, guard := stall.Watch(context.Background(), syncLimits)
 	defer guard.Close()
 	begun := n.clock.Now()
-	req := &tlv1.SyncRequest{Kinds: n.duty.kindSums(), RecordsOnly: !whole, Pulls: true}
+	req := &tlv1.SyncRequest{Kinds: n.duty.kindSums(), RecordsOnly: !whole, Pulls: true, Packs: true, Services: n.services.needed()}
 	for _, s := range req.Kinds {
 		if k := store.Kind(s.GetKind()); k != store.State {
 			s.Sums = n.records.sets[k].Sums()
@@ -232,6 +338,7 @@
 	}
 	if whole {
 		req.Members = n.members.All()
+		req.Members = req.Members[:min(len(req.Members), membersTold)] // the first is this node; others ask for the rest
 	}
 	c := tinladderv1connect.NewFleetServiceClient(p.http, "http://"+address)
 	res, err := c.Sync(withGuard(ctx, guard), connect.NewRequest(req))
@@ -245,14 +352,11 @@
 	}
 	n.duty.proof.Told(begun, clock.Millis(res.Msg.GetStoreNow()))
 	n.quotas.known.see(int(res.Msg.GetKnown()), n.clock.Now())
-	n.members.Merge(res.Msg.GetMembers())
-	for _, r := range p.inOrder(res.Msg.GetRecords()) {
+	records := p.takeParts(res.Msg, address)
+	for _, r := range p.inOrder(records) {
 		n.records.hear(r, address)
 	}
-	for _, r := range res.Msg.GetReports() {
-		n.services.hear(r)
-	}
-	if !n.duty.hearKinds(res.Msg.GetKinds(), address, n.far(address)) && len(res.Msg.GetRecords()) == 0 {
+	if !n.duty.hearKinds(res.Msg.GetKinds(), address, n.far(address)) && len(records) == 0 {
 		p.mu.Lock()
 		p.turnedAway = true
 		p.mu.Unlock()
@@ -260,6 +364,30 @@
 	return true
 }
 
+// takeParts takes in the members and reports of an answer and of its packs, and returns the records of all.
+func (p *peers) takeParts(res *tlv1.SyncResponse, address string) (records []*tlv1.Records) {
+	n := p.node
+	parts := []*tlv1.SyncResponse{res}
+	for _, x := range res.GetPacks() {
+		part, err := unpacked(x)
+		if err != nil {
+			n.log.WithFields(logrus.Fields{"event": "record_unreadable", "from": address, "error": err}).Warn()
+			continue
+		}
+		parts = append(parts, part)
+	}
+	for _, part := range parts {
+		n.members.Merge(part.GetMembers())
+		records = append(records, part.GetRecords()...)
+	}
+	for _, part := range parts {
+		for _, r := range part.GetReports() {
+			n.services.hear(r)
+		}
+	}
+	return records
+}
+
 // inOrder puts a first state behind the records that came with it: requests wait for it, and would find no targets. A
 // newer state comes first, as it was sent.
 func (p *peers) inOrder(list []*tlv1.Records) []*tlv1.Records {
--- a/node/services.go
+++ b/node/services.go
@@ -537,10 +537,23 @@
 	svc.pool.Hear(from, r)
 }
 
-// reports returns all that this node has seen.
-func (s *services) reports() []*tlv1.Report {
+// needed returns the services whose targets this node holds ready.
+func (s *services) needed() (names []string) {
+	for _, svc := range s.all() {
+		if svc.filled.Load() {
+			names = append(names, svc.name)
+		}
+	}
+	return names
+}
+
+// reports returns all that this node has seen, of the services that the node has use for that asks.
+func (s *services) reports(req *tlv1.SyncRequest) []*tlv1.Report {
 	var list []*tlv1.Report
 	for _, svc := range s.all() {
+		if req.GetPacks() && !slices.Contains(req.GetServices(), svc.name) {
+			continue
+		}
 		if r := svc.pool.Report(true); r != nil && len(r.GetSeen()) > 0 {
 			s.sign(svc, r)
 			list = append(list, r)
--- a/node/spread.go
+++ b/node/spread.go
@@ -13,6 +13,9 @@
 	// recordsPerParcel and bytesPerParcel bound one datagram of records.
 	recordsPerParcel = 8
 	bytesPerParcel   = 4 << 10
+	// bulkRecords is how many records at once are asked for by those that lack them, packed, in place of being sent to each
+	// node one datagram after the other.
+	bulkRecords = 128
 	// strangersTold is how many more nodes a watcher tells of a large record, besides its own hall: each hall has a
 	// watcher of its own.
 	strangersTold = 4
@@ -22,6 +25,11 @@
 // watch tells of its sums alone: each hall has one that does, and if all that ask for themselves sent what they
 // find to all, a store that comes back would have as many copies sent as there are pairs of nodes.
 func (d *duty) spread(k store.Kind, news []replica.Record) {
+	if k != store.State && len(news) > bulkRecords {
+		d.confirm()
+		d.tell(d.relays())
+		return
+	}
 	if d.rank() > 0 && k != store.State && k != store.Evacuations {
 		d.confirm()
 		return
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -149,6 +149,13 @@
 	})
 }
 
+// Len returns how many records are held, those that are gone too.
+func (s *Set) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.records)
+}
+
 // Newest returns the highest version of any record that was taken in, gone ones too; 0 if there was none.
 func (s *Set) Newest() uint64 {
 	s.mu.Lock()
