--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -116,6 +116,23 @@
 	f.t, f.clock = t, clock.NewSystem()
 	f.store = standin.New(f.clock, 20*clock.Second)
 	f.http = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 16}}
+	f.add(nodes)
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			n.stop()
+		}
+		if t.Failed() {
+			for _, n := range f.nodes {
+				t.Logf("%s:\n%s", n.name, n.log)
+			}
+		}
+	})
+	return f
+}
+
+// add starts so many nodes, the first ones of the fleet.
+func (f *fleet) add(nodes int) {
+	f.t.Helper()
 	for i := range nodes {
 		n := &testNode{name: fmt.Sprint("n", i), hall: fmt.Sprint("h", i%3), door: standin.NewDoor(f.store), log: &lines{}}
 		free := emulate.Addresses(7)
@@ -131,35 +148,24 @@
 			n.peersAt, n.link = free[4], emulate.NewLink(f.linkBytes)
 			r, err := n.link.Relay(n.peers, n.peersAt, n.peers, n.peersAt)
 			if err != nil {
-				t.Fatal(err)
+				f.t.Fatal(err)
 			}
 			n.relay = r
-			t.Cleanup(r.Close)
+			f.t.Cleanup(r.Close)
 		}
 		if f.muffled {
-			n.peersAt, n.muffler = free[4], newMuffler(t, free[4])
+			n.peersAt, n.muffler = free[4], newMuffler(f.t, free[4])
 			r, err := emulate.NewRelay(n.peers, n.peersAt, n.peers, n.muffler.address())
 			if err != nil {
-				t.Fatal(err)
+				f.t.Fatal(err)
 			}
-			t.Cleanup(r.Close)
+			f.t.Cleanup(r.Close)
 		}
 		f.nodes = append(f.nodes, n)
 	}
 	for _, n := range f.nodes {
 		f.start(n)
 	}
-	t.Cleanup(func() {
-		for _, n := range f.nodes {
-			n.stop()
-		}
-		if t.Failed() {
-			for _, n := range f.nodes {
-				t.Logf("%s:\n%s", n.name, n.log)
-			}
-		}
-	})
-	return f
 }
 
 func (f *fleet) settingsOf(n *testNode, more string) string {
--- a/node/spread_test.go
+++ b/node/spread_test.go
@@ -22,6 +22,26 @@
 	return total
 }
 
+// sumPrefix adds all metrics up whose name and labels begin so, of all nodes.
+func (f *fleet) sumPrefix(prefix string) (total float64) {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		res, err := f.http.Get("http://" + n.metrics)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		text, _ := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		for line := range strings.Lines(string(text)) {
+			if key, value, _ := strings.Cut(strings.TrimSpace(line), " "); strings.HasPrefix(key, prefix) {
+				v, _ := strconv.ParseFloat(value, 64)
+				total += v
+			}
+		}
+	}
+	return total
+}
+
 // sumOf adds a metric of one node up.
 func (f *fleet) sumOf(n *testNode, name string) (total float64) {
 	f.t.Helper()
