Word of the store is told to a hall by one node at a time, and asked for by a few of those that start

Cause (event=traffic of 12 nodes of 986, first 10 s): 109 to 282 KB of confirm to the hall from each node, as weak ones too: each that had asked the store once told its whole hall each 0.3 s for 2.9 s, and each asked, since nobody had told it within 0.18 s.

--- a/node/confirm.go
+++ b/node/confirm.go
@@ -18,13 +18,15 @@
 // tick tells the hall now and then what the store holds, for as long as this node watches, and a node of each
 // other hall, which may have nobody that the store answers.
 func (d *duty) tick() {
+	speaks := d.speaks()
 	d.mu.Lock()
 	now := d.node.clock.Now()
 	watching := false
 	for _, at := range d.asked {
 		watching = watching || now-at < watchWait+watcher.StaleAfter
 	}
-	due := watching && now-d.told >= confirmEvery
+	due := watching && speaks && now-d.told >= confirmEvery || d.confirming
+	d.confirming = false
 	repair := now-d.passed >= repairEvery
 	if repair {
 		d.passed = now
@@ -39,6 +41,12 @@
 	}
 }
 
+// speaks says whether this node tells its hall of the store: the first to watch does, or whoever asks while the hall hears
+// nobody. Each that has asked of late would send as many words as there are pairs of nodes.
+func (d *duty) speaks() bool {
+	return !d.hall.HeardWithin(confirmEvery) || d.rank() == 0
+}
+
 // confirm tells this node's hall what is known of the store.
 func (d *duty) confirm() {
 	d.mu.Lock()
@@ -47,6 +55,18 @@
 	d.tell(d.near())
 }
 
+// confirmSoon does the same, once for all that is sent within a tick.
+func (d *duty) confirmSoon() {
+	d.mu.Lock()
+	now := d.node.clock.Now()
+	wait := now-d.told < tickEvery
+	d.confirming = wait
+	d.mu.Unlock()
+	if !wait {
+		d.confirm()
+	}
+}
+
 // near returns where the other nodes of this hall hear datagrams.
 func (d *duty) near() []string {
 	n := d.node
--- a/node/duty.go
+++ b/node/duty.go
@@ -34,6 +34,8 @@
 	// patienceLeast and patienceMore set how long a node that has just started waits for others.
 	patienceLeast clock.Millis = 60
 	patienceMore  clock.Millis = 120
+	// patientNodes is how many nodes there may be for that: a larger fleet waits longer by its size, so that as many ask.
+	patientNodes = 50
 	// dutyCheck is how often a node without the duty looks whether it should take it up.
 	dutyCheck clock.Millis = 50
 	// settle is how long a change of targets waits for others to come with it.
@@ -51,8 +53,10 @@
 	node  *Node
 	hall  *watcher.Hall
 	since clock.Millis
-	// patience is how long this node waits for others after its start.
-	patience clock.Millis
+	// seeds says that the settings name other nodes, and patience where chance has put this one among those that wait for
+	// others after their start, from 0 to 1.
+	seeds    bool
+	patience float64
 
 	mu sync.Mutex
 	// confirmed is when the store was last known to hold nothing newer of a kind, whoever asked it.
@@ -65,6 +69,8 @@
 	marks  map[store.Kind]store.Mark
 	told   clock.Millis
 	passed clock.Millis
+	// confirming says that the hall is to be told at the next tick.
+	confirming bool
 	// weights are what the ready nodes of this hall can carry, as of a version of the members.
 	weights map[ident.Process]uint32
 	weighed uint64
@@ -78,7 +84,7 @@
 
 func newDuty(n *Node) *duty {
 	return &duty{
-		node: n, since: n.clock.Now(), patience: patienceOf(n), confirmed: map[store.Kind]clock.Millis{},
+		node: n, since: n.clock.Now(), seeds: waitsForOthers(n), patience: rand.Float64(), confirmed: map[store.Kind]clock.Millis{},
 		asked: map[store.Kind]clock.Millis{}, marks: map[store.Kind]store.Mark{}, hall: watcher.New(n.clock, n.self), place: -1,
 	}
 }
@@ -139,7 +145,7 @@
 		return false // whether the store answers again shows by the other kinds
 	}
 	if !d.known(k) {
-		return now-d.since >= d.patience
+		return now-d.since >= d.startWait()
 	}
 	q := watcher.Question{Age: d.overdue(k), Rank: d.rank(), Leads: k == store.State}
 	if q.Rank == 0 && now-d.since <= watcher.StaleAfter/2 {
@@ -157,15 +163,21 @@
 	return d.confirmed[k] > 0 || d.node.records.sets[k].Newest() > 0
 }
 
-// patienceOf is how long a node that has just started waits for word from others before it asks
-// the store itself: not at all if others look for them at it, and else each for another time, so that
-// a fleet that starts at once does not ask as one.
-func patienceOf(n *Node) clock.Millis {
+// waitsForOthers says whether a node that has just started waits for word from others before it asks the store itself: not
+// if others look for them at it.
+func waitsForOthers(n *Node) bool {
 	seeds := n.settings().Fleet.Seeds
-	if len(seeds) == 0 || slices.Contains(seeds, n.settings().Node.PeersAddress()) {
+	return len(seeds) > 0 && !slices.Contains(seeds, n.settings().Node.PeersAddress())
+}
+
+// startWait is how long this node waits for that: each for another time, and the longer the more nodes are known, so that a
+// fleet that starts at once does not ask as one.
+func (d *duty) startWait() clock.Millis {
+	if !d.seeds {
 		return 0
 	}
-	return patienceLeast + rand.N(patienceMore)
+	size := max(1, float64(len(d.node.members.Live()))/patientNodes)
+	return patienceLeast + clock.Millis(d.patience*float64(patienceMore)*size)
 }
 
 // watch follows a kind of records for as long as this node has the duty.
@@ -338,7 +350,9 @@
 		d.node.metrics.storeAway(false)
 		d.node.log.WithFields(logrus.Fields{"event": "store_regained", "kind": k}).Warn()
 	}
-	d.confirm()
+	if d.speaks() {
+		d.confirm()
+	}
 }
 
 // lost notes that the store did not answer this node.
--- a/node/spread.go
+++ b/node/spread.go
@@ -16,6 +16,8 @@
 	// bulkRecords is how many records at once are asked for by those that lack them, packed, in place of being sent to each
 	// node one datagram after the other.
 	bulkRecords = 128
+	// freshWord is the age up to which a hall's word of the store is fresh: two words of its watcher.
+	freshWord = 2 * confirmEvery
 	// strangersTold is how many more nodes a watcher tells of a large record, besides its own hall: each hall has a
 	// watcher of its own.
 	strangersTold = 4
@@ -38,19 +40,28 @@
 	d.tell(d.relays())
 }
 
-// forward tells this hall of records that another hall's watcher told this node of.
+// forward tells this hall of records that another hall's watcher told this node of, if the hall has no fresh word of its
+// own: else its own watcher tells it, and each record would come once from each hall.
 func (d *duty) forward(k store.Kind, news []replica.Record) {
-	d.send(k, news, d.near())
+	if k == store.State || !d.fresh(k) {
+		d.send(k, news, d.near())
+	}
+}
+
+// fresh says whether this hall's word of the store is so young that its watcher will tell of what is new.
+func (d *duty) fresh(k store.Kind) bool {
+	return d.age(k) <= freshWord && d.hall.HeardWithin(freshWord)
 }
 
 // send sends records, and tells this hall of their sums.
 func (d *duty) send(k store.Kind, news []replica.Record, to []string) {
 	if k == store.State {
 		d.sendState(news, to)
-	} else {
-		d.sendParts(k, news, to)
+		d.confirm()
+		return
 	}
-	d.confirm()
+	d.sendParts(k, news, to)
+	d.confirmSoon()
 }
 
 // sendParts sends records in parts of the size of a datagram. Large ones are asked for by those that lack them.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// HeardWithin says whether another node of the hall was heard so shortly ago.
+func (h *Hall) HeardWithin(span clock.Millis) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.heardAt > 0 && h.clock.Now()-h.heardAt < span
+}
+
 // Answered notes that the store answered this node, and says whether it had turned it away before.
 func (h *Hall) Answered() (regained bool) {
 	h.mu.Lock()
