A node without the duty to watch looks at it when what it knows grows old, four times a second otherwise

Cause: three loops of each node woke each 50 ms to see that the first watcher is another: 60 wakes a second, most of what a node of 986 does at rest. It now sleeps until its word of the store can be overdue, 0.25 s at most, so that it still sees that it became the first.

--- a/node/duty.go
+++ b/node/duty.go
@@ -36,8 +36,10 @@
 	patienceMore  clock.Millis = 120
 	// patientNodes is how many nodes there may be for that: a larger fleet waits longer by its size, so that as many ask.
 	patientNodes = 50
-	// dutyCheck is how often a node without the duty looks whether it should take it up.
+	// dutyCheck is how often a node without the duty looks whether it should take it up while it may have to soon, and
+	// dutyRest how often otherwise: most nodes of a fleet never have it.
 	dutyCheck clock.Millis = 50
+	dutyRest  clock.Millis = 250
 	// settle is how long a change of targets waits for others to come with it.
 	settle clock.Millis = 150
 	// rereadAfter is how old the last word of the store must be for a node that was turned away to read the newest state
@@ -138,6 +140,15 @@
 	return !d.node.leaving.started() && d.due(k) && d.hall.Admits()
 }
 
+// nextLook is in how long a node without the duty looks again: what it knows has to grow old before it takes the duty up,
+// unless it becomes the first to watch.
+func (d *duty) nextLook(k store.Kind) clock.Millis {
+	if !d.known(k) || d.hall.Deaf() {
+		return dutyCheck
+	}
+	return min(max(watcher.StaleAfter-d.overdue(k), dutyCheck), dutyRest)
+}
+
 // due says whether word of the kind is due.
 func (d *duty) due(k store.Kind) bool {
 	now := d.node.clock.Now()
@@ -184,7 +195,7 @@
 func (d *duty) watch(ctx context.Context, k store.Kind) {
 	for ctx.Err() == nil {
 		if !d.wanted(k) {
-			pause(ctx, dutyCheck)
+			pause(ctx, d.nextLook(k))
 			continue
 		}
 		if d.hall.Deaf() {
