Records that are new since a set that both held go as one pack, and members that are known are not told again

Cause: 986 nodes that start while 10,000 targets register read the whole set at each of seven batches, and all members at each of some seven comparisons: 1.0 to 4.4 MB a node in 10 s by event=traffic, three quarters of a million packets to play. A node remembers the last 32 sets that it told of; whoever asks from one of these gets what is newer, packed once. A question names the processes that its sender knows by four bytes each.

--- a/node/confirm.go
+++ b/node/confirm.go
@@ -150,7 +150,8 @@
 			s.Proved = int64(d.proof.Proved()) // before the sum, too
 		}
 		set := d.node.records.sets[k]
-		s.Sum, s.Newest = set.Sum(), set.Newest()
+		s.Sum, s.Newest = set.State()
+		d.node.packs.hold(k, s.Sum, s.Newest)
 		list = append(list, s)
 	}
 	return list
--- /dev/null
+++ b/node/known.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+)
+
+// hashBytes is the size of a member's hash: of 1,000 members one in 4 million is taken for another, and heard of by gossip.
+const hashBytes = 4
+
+// hashOf tells what a node knows of a member apart from other things that it may know: its process and how it is.
+func hashOf(m *tlv1.Member) uint32 {
+	x := xxhash.New()
+	_, _ = x.WriteString(m.GetNode())
+	b := binary.LittleEndian.AppendUint64(nil, m.GetIncarnation())
+	b = binary.LittleEndian.AppendUint64(b, m.GetLife())
+	b = append(b, byte(m.GetState()))
+	if m.GetLeaving() {
+		b = append(b, 1)
+	}
+	_, _ = x.Write(b)
+	return uint32(x.Sum64())
+}
+
+// hashes returns the hashes of the members.
+func hashes(members []*tlv1.Member) (list []byte) {
+	for _, m := range members {
+		list = binary.LittleEndian.AppendUint32(list, hashOf(m))
+	}
+	return list
+}
+
+// strangers returns the members whose hashes are not among those known.
+func strangers(members []*tlv1.Member, known []byte) (list []*tlv1.Member) {
+	held := map[uint32]bool{}
+	for ; len(known) >= hashBytes; known = known[hashBytes:] {
+		held[binary.LittleEndian.Uint32(known)] = true
+	}
+	for _, m := range members {
+		if !held[hashOf(m)] {
+			list = append(list, m)
+		}
+	}
+	return list
+}
--- a/node/packs.go
+++ b/node/packs.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/delta"
+	"github.com/tinladder/tinladder/replica"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"github.com/tinladder/tinladder/store"
 	"google.golang.org/protobuf/proto"
@@ -18,6 +21,9 @@
 	packShare = 0.5
 	// packFor is how long a pack is given though some records have changed since: those are found by the next comparison.
 	packFor = 1 * clock.Second
+	// packKept is for how long packs are kept at all, and pointsKept how many sets are remembered.
+	packKept   = 10 * clock.Second
+	pointsKept = 32
 	// maxPack bounds what a pack may come to, against a broken one.
 	maxPack = 64 << 20
 	// packFactor is how many times as fast as other answers ready ones are given, by the processor.
@@ -29,8 +35,21 @@
 type packs struct {
 	node *Node
 
-	mu     sync.Mutex
-	byKind map[store.Kind]pack
+	mu sync.Mutex
+	// made are the packs by what is in them, and points the sets that this node held of late.
+	made   map[packKey]pack
+	points map[store.Kind][]point
+}
+
+// A packKey names a pack: all records of the kind that are newer than the version.
+type packKey struct {
+	kind  store.Kind
+	after uint64
+}
+
+// A point is a set that this node held: its sum, and the newest version in it. What it holds besides by now is newer.
+type point struct {
+	sum, newest uint64
 }
 
 // A pack is one answer, compressed.
@@ -41,45 +60,70 @@
 }
 
 func newPacks(n *Node) *packs {
-	return &packs{node: n, byKind: map[store.Kind]pack{}}
+	return &packs{node: n, made: map[packKey]pack{}, points: map[store.Kind][]point{}}
+}
+
+// hold notes the set that this node holds of a kind.
+func (p *packs) hold(k store.Kind, sum, newest uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.points[k]
+	if len(list) > 0 && list[len(list)-1].sum == sum {
+		return
+	}
+	p.points[k] = append(list[max(0, len(list)-pointsKept+1):len(list):len(list)], point{sum: sum, newest: newest})
 }
 
-// wanted says whether a node with the sums is given all records of the kind.
-func (p *packs) wanted(k store.Kind, theirs []uint64) bool {
+// wanted says whether a node is given many records of a kind at once, and after which version: all that are newer than a
+// set that this node held too, or all there are where most parts of the sets differ.
+func (p *packs) wanted(k store.Kind, theirs *tlv1.KindSum) (after uint64, wanted bool) {
 	set := p.node.records.sets[k]
-	mine := set.Sums()
-	if len(theirs) != len(mine) || set.Len() < leastPacked {
-		return false
+	if set.Len() < leastPacked {
+		return 0, false
+	}
+	p.mu.Lock()
+	for _, x := range p.points[k] {
+		if x.sum == theirs.GetSum() {
+			after = x.newest
+		}
+	}
+	p.mu.Unlock()
+	mine, sums := set.Sums(), theirs.GetSums()
+	if len(sums) != len(mine) {
+		return 0, false
 	}
 	differ := 0
 	for i := range mine {
-		if mine[i] != theirs[i] {
+		if mine[i] != sums[i] {
 			differ++
 		}
 	}
-	return float64(differ) > packShare*float64(len(mine))
+	return after, float64(differ) > packShare*float64(len(mine))
 }
 
-// ready returns the pack of a kind, if there is one that may still be given.
-func (p *packs) ready(k store.Kind) (x pack, found bool) {
+// ready returns a pack, if there is one that may still be given.
+func (p *packs) ready(key packKey) (x pack, found bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	x, found = p.byKind[k]
-	return x, found && (x.sum == p.node.records.sets[k].Sum() || p.node.clock.Now()-x.madeAt < packFor)
+	x, found = p.made[key]
+	return x, found && (x.sum == p.node.records.sets[key.kind].Sum() || p.node.clock.Now()-x.madeAt < packFor)
 }
 
-// make makes the pack of a kind, and returns how many bytes it has unpacked.
-func (p *packs) make(k store.Kind) (x pack, bytes int, err error) {
-	set := p.node.records.sets[k]
-	x = pack{sum: set.Sum(), madeAt: p.node.clock.Now()}
-	res := &tlv1.SyncResponse{Records: []*tlv1.Records{p.node.records.wire(k, set.All())}}
+// make makes a pack, and returns how many bytes it has unpacked. It drops those of its kind that are old.
+func (p *packs) make(key packKey) (x pack, bytes int, err error) {
+	now := p.node.clock.Now()
+	set := p.node.records.sets[key.kind]
+	x = pack{sum: set.Sum(), madeAt: now}
+	list := slices.DeleteFunc(set.All(), func(r replica.Record) bool { return r.Version <= key.after })
+	res := &tlv1.SyncResponse{Records: []*tlv1.Records{p.node.records.wire(key.kind, list)}}
 	x.answer, bytes, err = packed(res)
 	if err != nil {
 		return x, bytes, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.byKind[k] = x
+	maps.DeleteFunc(p.made, func(k packKey, old pack) bool { return k.kind == key.kind && now-old.madeAt > packKept })
+	p.made[key] = x
 	return x, bytes, nil
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -130,7 +130,7 @@
 		rest = &tlv1.SyncResponse{}
 	}
 	if !req.Msg.GetRecordsOnly() {
-		rest.Members = n.members.All()
+		rest.Members = strangers(n.members.All(), req.Msg.GetKnown())
 	}
 	given := p.giveMany(req.Msg, rest, res)
 	if rest != res {
@@ -155,36 +155,45 @@
 		k := store.Kind(theirs.GetKind())
 		switch {
 		case k == store.State || k == store.Evacuations || !p.differs(theirs):
-		case req.GetPacks() && n.packs.wanted(k, theirs.GetSums()):
-			if x := p.givePack(k); x != nil {
+		case !req.GetPacks():
+			given = p.giveRecords(k, theirs, rest) || given
+		default:
+			after, many := n.packs.wanted(k, theirs)
+			if !many {
+				given = p.giveRecords(k, theirs, rest) || given
+			} else if x := p.givePack(packKey{kind: k, after: after}); x != nil {
 				res.Packs, given = append(res.Packs, x), true
 			}
-		default:
-			given = n.compares.give(func() (made, sent int) {
-				list := n.records.wire(k, n.records.sets[k].Differing(theirs.GetSums()))
-				rest.Records = append(rest.Records, list)
-				made = proto.Size(list)
-				return made, made
-			}) || given
 		}
 	}
 	return given
 }
 
-// givePack returns all records of a kind as they are sent to a node that lacks most of them; nil if this node has no room
-// for that. One that carries little leaves it to those of its hall that carry the most.
-func (p *peers) givePack(k store.Kind) (given *tlv1.Pack) {
+// giveRecords adds the records of the parts of a set that differ to the rest of an answer, if this node has room for that.
+func (p *peers) giveRecords(k store.Kind, theirs *tlv1.KindSum, rest *tlv1.SyncResponse) bool {
+	n := p.node
+	return n.compares.give(func() (made, sent int) {
+		list := n.records.wire(k, n.records.sets[k].Differing(theirs.GetSums()))
+		rest.Records = append(rest.Records, list)
+		made = proto.Size(list)
+		return made, made
+	})
+}
+
+// givePack returns many records as they are sent to a node that lacks them; nil if this node has no room for that. One that
+// carries little leaves it to those of its hall that carry the most.
+func (p *peers) givePack(key packKey) (given *tlv1.Pack) {
 	n := p.node
 	if !n.isStrong(n.members.Self()) {
 		return nil
 	}
 	n.compares.give(func() (made, sent int) {
-		x, found := n.packs.ready(k)
+		x, found := n.packs.ready(key)
 		made = len(x.answer) / packFactor
 		if !found {
 			var err error
-			if x, made, err = n.packs.make(k); err != nil {
-				n.log.WithFields(logrus.Fields{"event": "records_not_packed", "kind": k, "error": err}).Error()
+			if x, made, err = n.packs.make(key); err != nil {
+				n.log.WithFields(logrus.Fields{"event": "records_not_packed", "kind": key.kind, "error": err}).Error()
 				return made, 0
 			}
 		}
@@ -338,6 +347,7 @@
 	}
 	if whole {
 		req.Members = n.members.All()
+		req.Known = hashes(req.Members)
 		req.Members = req.Members[:min(len(req.Members), membersTold)] // the first is this node; others ask for the rest
 	}
 	c := tinladderv1connect.NewFleetServiceClient(p.http, "http://"+address)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -132,6 +132,16 @@
 	return sum
 }
 
+// State returns the sum and the highest version, as of one moment.
+func (s *Set) State() (sum, newest uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.sums {
+		sum ^= x
+	}
+	return sum, s.newest
+}
+
 // Sums returns the sum of each part.
 func (s *Set) Sums() []uint64 {
 	s.mu.Lock()
