--- a/node/start_test.go
+++ b/node/start_test.go
@@ -16,7 +16,7 @@
 	if !*measureStart {
 		t.Skip("a measurement; run with -start")
 	}
-	for _, nodes := range []int{120} {
+	for _, nodes := range []int{30, 60, 120} {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
 			f := &fleet{via: func(s string) string { return s }, more: func(i int) string {
 				cores := 0.16
@@ -40,7 +40,7 @@
 				t.Logf("%-8s %8.0f bytes a node within the hall, %8.0f to others", kind, near/float64(nodes), far/float64(nodes))
 			}
 			t.Logf("%.0f comparisons, %.0f calls of the store, %.0f datagrams heard a node", f.sum("tinladder_syncs_total")/float64(nodes),
-				f.sum("tinladder_store_calls_total")/float64(nodes), f.sum("tinladder_datagrams_total")/float64(nodes))
+				f.sum("tinladder_store_calls_total")/float64(nodes), f.sum("tinladder_datagram_received_total")/float64(nodes))
 		})
 	}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -53,8 +53,6 @@
 	ColdRate  float64
 	// Evacuated targets are in a hall that is to get nothing.
 	Evacuated bool
-	// Away targets are in another region than this node.
-	Away bool
 }
 
 // An Outcome says how an attempt ended.
