--- a/node/duty.go
+++ b/node/duty.go
@@ -143,7 +143,7 @@
 // nextLook is in how long a node without the duty looks again: what it knows has to grow old before it takes the duty up,
 // unless it becomes the first to watch.
 func (d *duty) nextLook(k store.Kind) clock.Millis {
-	if !d.known(k) || d.hall.Deaf() {
+	if !d.known(k) || d.hall.Deaf() || d.node.clock.Now()-d.since <= watcher.StaleAfter {
 		return dutyCheck
 	}
 	return min(max(watcher.StaleAfter-d.overdue(k), dutyCheck), dutyRest)
@@ -257,13 +257,10 @@
 	return d.age(k) - (longestWait(k) - watchWait)
 }
 
-// waitFor is how long a question for changes waits: not at all where word of the store is overdue, so that the
-// others do not take up the duty as well.
+// waitFor is how long a question for changes waits: no longer than until word of the store is overdue, so that the others
+// do not take up the duty as well, and this node does not take itself for one that is behind.
 func (d *duty) waitFor(k store.Kind) clock.Millis {
-	if d.age(k) > longestWait(k) {
-		return askAtOnce
-	}
-	return longestWait(k)
+	return max(longestWait(k)-d.age(k), askAtOnce)
 }
 
 // ask reads all records of the kind if there is no mark, or follows it, and spreads what is new. It returns up to
