Targets that register before the first request are not each owed a trial while load is sparse

Now a target that was there before the service's first request is taken as any other; and of requests under sparse load 0.15 at most try targets that join later, so that a release of a whole service doesn't do the same. Where load isn't sparse nothing changes.

--- a/pool/explore.go
+++ b/pool/explore.go
@@ -33,10 +33,7 @@
 		if !t.Ours || !p.mayUse(t, a, now) || !t.admits(now) || p.inFlight(t, now) >= t.Slots {
 			continue
 		}
-		r := p.due(t, a, narrow && p.owed(t, n, now), short, now)
-		if r == Idle && sparse {
-			continue
-		}
+		r := p.due(t, a, want{spread: narrow && p.owed(t, n, now), short: short, sparse: sparse}, now)
 		if r != Best && (best == nil || p.sooner(t, best, now)) {
 			best, why = t, r
 		}
@@ -44,6 +41,20 @@
 	return best, why
 }
 
+// joinTrialsMost bounds how many targets that joined are tried in a row after a time without any.
+const joinTrialsMost = 3
+
+// countTrial counts a request against what may be spent on targets that joined: while there are more targets than
+// requests can keep at work, a service that is replaced as a whole would have each request go to a target that nobody
+// knows, and fail as often as targets do.
+func (p *Pool) countTrial(why Reason) {
+	p.worked = true
+	if why == Joined {
+		p.joinTrials = max(p.joinTrials-1, 0)
+	}
+	p.joinTrials = min(p.joinTrials+p.tuning.JoinShare, joinTrialsMost)
+}
+
 // turnWait is how much longer each of the nodes that may try a target waits than the one before it: some ways
 // between nodes of a hall, so that the first one's trial is known.
 const turnWait clock.Millis = 150
@@ -53,23 +64,30 @@
 	return clock.Millis(t.Turn) * turnWait
 }
 
+// A want says what trials are for.
+type want struct {
+	// spread says that the target should have work, short that few slots are free, and sparse that there are more targets
+	// than requests can keep at work.
+	spread, short, sparse bool
+}
+
 // due says why the request should try the target, or Best if it should not.
-func (p *Pool) due(t *target, a *Ask, spread, short bool, now clock.Millis) Reason {
+func (p *Pool) due(t *target, a *Ask, w want, now clock.Millis) Reason {
 	later := t.later()
 	worked := p.workedAt(t, now)
-	if worked == 0 && t.joined {
-		if now-t.known > p.tuning.JoinWait+later {
+	if worked == 0 && t.joined && !(w.sparse && t.early) {
+		if now-t.known > p.tuning.JoinWait+later && !(w.sparse && p.joinTrials < 1) {
 			return Joined
 		}
 		return Best
 	}
 	idle, failing := now-worked, t.belief.Failing(&p.tuning.Model, now)
 	switch {
-	case a.Repeatable && len(a.Not) == 0 && idle > p.tuning.ExploreIdle+later && p.budget.Left() > spareAttempts:
+	case a.Repeatable && !w.sparse && len(a.Not) == 0 && idle > p.tuning.ExploreIdle+later && p.budget.Left() > spareAttempts:
 		return Idle
-	case spread:
+	case w.spread:
 		return Spread
-	case short && failing >= p.tuning.KnownBelow && failing < p.tuning.SpareBelow && p.inFlight(t, now) == 0:
+	case w.short && failing >= p.tuning.KnownBelow && failing < p.tuning.SpareBelow && p.inFlight(t, now) == 0:
 		return Spare
 	}
 	return Best
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -41,6 +41,7 @@
 	}
 	p.begun.count(now, Served)
 	t.mine++
+	p.countTrial(c.why)
 	if t.cold(now) {
 		t.sent.take(now, t.ColdRate)
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -132,8 +132,8 @@
 	known    clock.Millis
 	// knownAt is when the last evidence on the target came to this node; 0 if never.
 	knownAt clock.Millis
-	// joined targets came while this node knew the service already.
-	joined bool
+	// joined targets came while this node knew the service already, and early ones before its first request.
+	joined, early bool
 	// usedAt is when any node last sent it a request that got there, as far as is known; triedAt is when this node last
 	// gave it one, which may not get there.
 	usedAt, triedAt clock.Millis
@@ -182,8 +182,12 @@
 	// begun counts this node's attempts, as they begin.
 	begun     *window
 	peerEnded map[ident.Process]peerTally
-	usual     usual
-	events    []Event
+	// worked says that a request of any node is known to have gone to a target.
+	worked bool
+	// joinTrials is how many targets that joined may be tried now while load is sparse.
+	joinTrials float64
+	usual      usual
+	events     []Event
 }
 
 // New returns a pool without targets.
@@ -215,7 +219,7 @@
 		t := p.targets[d.ID]
 		reborn := t != nil && t.Life != d.Life
 		if t == nil || reborn {
-			t = &target{belief: belief.New(&p.tuning.Model, now), peers: map[ident.Process]*peerSeen{}, known: now, joined: len(p.targets) > 0}
+			t = &target{belief: belief.New(&p.tuning.Model, now), peers: map[ident.Process]*peerSeen{}, known: now, joined: len(p.targets) > 0, early: !p.worked}
 		}
 		if reborn {
 			t.rebornAt = now
--- a/pool/share.go
+++ b/pool/share.go
@@ -129,8 +129,10 @@
 	if s.GetOkMs() != never {
 		was.okAt = okAt
 	}
+	p.worked = p.worked || s.GetInFlight() > 0
 	for _, ms := range []int64{s.GetOkMs(), s.GetFailedMs()} {
 		if ms != never {
+			p.worked = true
 			t.usedAt = max(t.usedAt, now-clock.Millis(ms))
 		}
 	}
--- a/pool/tuning.go
+++ b/pool/tuning.go
@@ -29,6 +29,9 @@
 	Overcommit float64
 	// JoinWait is how soon a new target is tried, with any request.
 	JoinWait clock.Millis
+	// JoinShare is the part of the requests that may try new targets while there are more targets than requests can keep
+	// at work.
+	JoinShare float64
 	// ExploreIdle is how long a target may go without requests before a repeatable one tries it, and
 	// SpreadIdle before any does where too few targets have work: so much less than the two seconds of the
 	// platform's floor that the next request comes and arrives in time.
@@ -82,6 +85,7 @@
 	Hold:             0.15,
 	Overcommit:       0.5,
 	JoinWait:         1500,
+	JoinShare:        0.15,
 	ExploreIdle:      1500,
 	SpreadIdle:       1400,
 	CalmSpread:       0.75,
