Operators of the fleet's own interface evacuate a hall and restore it

tinladderctl evacuate HALL, restore HALL, in-force hall:HALL and history hall:HALL: a hall is a document, which administrators change, so it lasts, is in the audit trail, and a node that starts has it with the services' documents. On the users' platform the operator's own rows hold as before.

--- a/cmd/tinladderctl/control.go
+++ b/cmd/tinladderctl/control.go
@@ -12,6 +12,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
+	"github.com/tinladder/tinladder/ident"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"github.com/tinladder/tinladder/schema/tinladder/v1/tinladderv1connect"
 	"google.golang.org/protobuf/proto"
@@ -20,8 +21,8 @@
 const (
 	changeIDBytes = 12
 	secretBytes   = 24
-	// drainRaces is how often a drain is tried again when another change was faster.
-	drainRaces = 5
+	// changeRaces is how often a change is tried again when another change was faster.
+	changeRaces = 5
 )
 
 // control carries out commands.
@@ -46,6 +47,10 @@
 		return c.history(ctx, args.History)
 	case args.Drain != nil:
 		return c.drain(ctx, args.Drain)
+	case args.Evacuate != nil:
+		return c.evacuate(ctx, args.Evacuate.Hall, true)
+	case args.Restore != nil:
+		return c.evacuate(ctx, args.Restore.Hall, false)
 	case args.InForce != nil:
 		return c.inForce(ctx, args.InForce)
 	case args.Status != nil:
@@ -85,9 +90,15 @@
 	return hex.EncodeToString(b)
 }
 
-func split(name string) (workspace, service string) {
+// hallPrefix begins the names of halls on the command line. No workspace's name has a colon.
+const hallPrefix = "hall:"
+
+func split(name string) (workspace, service, hall string) {
+	if hall, found := strings.CutPrefix(name, hallPrefix); found {
+		return "", "", hall
+	}
 	workspace, service, _ = strings.Cut(name, "/")
-	return workspace, service
+	return workspace, service, ""
 }
 
 func (c *control) apply(ctx context.Context, cmd *applyCmd) (err error) {
@@ -143,7 +154,7 @@
 	if d.GetService() != nil {
 		w, s = d.GetService().GetWorkspace(), d.GetService().GetName()
 	}
-	res, err := c.client.Get(ctx, request(c, &tlv1.GetRequest{Workspace: w, Service: s}))
+	res, err := c.client.Get(ctx, request(c, &tlv1.GetRequest{Workspace: w, Service: s, Hall: d.GetHall().GetName()}))
 	if connect.CodeOf(err) == connect.CodeNotFound {
 		return &tlv1.Document{Key: d.GetKey()}, nil
 	}
@@ -154,8 +165,8 @@
 }
 
 func (c *control) fetch(ctx context.Context, name string) (*tlv1.Document, error) {
-	w, s := split(name)
-	res, err := c.client.Get(ctx, request(c, &tlv1.GetRequest{Workspace: w, Service: s}))
+	w, s, h := split(name)
+	res, err := c.client.Get(ctx, request(c, &tlv1.GetRequest{Workspace: w, Service: s, Hall: h}))
 	if err != nil {
 		return nil, errors.Wrap(err, name)
 	}
@@ -193,8 +204,8 @@
 }
 
 func (c *control) history(ctx context.Context, cmd *historyCmd) error {
-	w, s := split(cmd.Name)
-	res, err := c.client.History(ctx, request(c, &tlv1.HistoryRequest{Workspace: w, Service: s, Limit: cmd.Limit}))
+	w, s, h := split(cmd.Name)
+	res, err := c.client.History(ctx, request(c, &tlv1.HistoryRequest{Workspace: w, Service: s, Hall: h, Limit: cmd.Limit}))
 	if err != nil {
 		return err
 	}
@@ -204,7 +215,7 @@
 // drain marks a target, on whatever version is in force.
 func (c *control) drain(ctx context.Context, cmd *drainCmd) error {
 	var err error
-	for range drainRaces {
+	for range changeRaces {
 		var d *tlv1.Document
 		if d, err = c.fetch(ctx, cmd.Service); err != nil {
 			return err
@@ -229,9 +240,22 @@
 	return errors.Newf("%s has no target %q", cmd.Service, cmd.Target)
 }
 
+// evacuate has the hall's targets get nothing, or work again, on whatever version is in force.
+func (c *control) evacuate(ctx context.Context, hall string, evacuated bool) (err error) {
+	for range changeRaces {
+		d := &tlv1.Document{
+			Key: string(ident.HallKey(ident.Hall(hall))), Body: &tlv1.Document_Hall{Hall: &tlv1.Hall{Name: hall, Evacuated: evacuated}},
+		}
+		if err = c.applyOne(ctx, d, false); connect.CodeOf(errors.UnwrapAll(err)) != connect.CodeAborted {
+			return err
+		}
+	}
+	return err
+}
+
 func (c *control) inForce(ctx context.Context, cmd *nameCmd) error {
-	w, s := split(cmd.Name)
-	res, err := c.client.InForce(ctx, request(c, &tlv1.InForceRequest{Workspace: w, Service: s}))
+	w, s, h := split(cmd.Name)
+	res, err := c.client.InForce(ctx, request(c, &tlv1.InForceRequest{Workspace: w, Service: s, Hall: h}))
 	if err != nil {
 		return err
 	}
--- a/cmd/tinladderctl/file.go
+++ b/cmd/tinladderctl/file.go
@@ -161,5 +161,8 @@
 	if s := d.GetService(); s != nil {
 		return fmt.Sprintf("service %s/%s", s.GetWorkspace(), s.GetName())
 	}
+	if h := d.GetHall(); h != nil {
+		return "hall " + h.GetName()
+	}
 	return "workspace " + d.GetWorkspace().GetName()
 }
--- a/cmd/tinladderctl/main.go
+++ b/cmd/tinladderctl/main.go
@@ -31,11 +31,11 @@
 }
 
 type nameCmd struct {
-	Name string `arg:"positional,required" help:"WORKSPACE or WORKSPACE/SERVICE"`
+	Name string `arg:"positional,required" help:"WORKSPACE, WORKSPACE/SERVICE or hall:HALL"`
 }
 
 type historyCmd struct {
-	Name  string `arg:"positional,required" help:"WORKSPACE or WORKSPACE/SERVICE"`
+	Name  string `arg:"positional,required" help:"WORKSPACE, WORKSPACE/SERVICE or hall:HALL"`
 	Limit uint32 `arg:"--limit" default:"20"`
 }
 
@@ -45,6 +45,10 @@
 	Undo    bool   `arg:"--undo" help:"let the target take work again"`
 }
 
+type hallCmd struct {
+	Hall string `arg:"positional,required" help:"the data hall, as nodes and targets name it"`
+}
+
 type reportCmd struct {
 	Workspace string        `arg:"positional" help:"all workspaces, for administrators, if left out"`
 	Since     time.Duration `arg:"--since" default:"12h"`
@@ -77,22 +81,24 @@
 	Token string `arg:"--token,env:TINLADDER_TOKEN" help:"an operator's token"`
 	JSON  bool   `arg:"--json" help:"print JSON"`
 
-	Apply   *applyCmd      `arg:"subcommand:apply" help:"bring workspaces and services to the state of a file"`
-	Get     *nameCmd       `arg:"subcommand:get" help:"show a workspace or a service"`
-	List    *nameCmd       `arg:"subcommand:list" help:"list a workspace's services"`
-	Delete  *nameCmd       `arg:"subcommand:delete" help:"delete a service"`
-	History *historyCmd    `arg:"subcommand:history" help:"show the audit trail of a workspace or a service"`
-	Drain   *drainCmd      `arg:"subcommand:drain" help:"send a target no new work"`
-	InForce *nameCmd       `arg:"subcommand:in-force" help:"show which version each node uses"`
-	Status  *emptyCmd      `arg:"subcommand:status" help:"show a node, its peers and its services' targets"`
-	Report  *reportCmd     `arg:"subcommand:report" help:"show what failed"`
-	Explain *explainCmd    `arg:"subcommand:explain" help:"say from the nodes' logs what became of a request"`
-	Spaces  *workspacesCmd `arg:"subcommand:workspaces" help:"show what workspaces with a limit made of it, from the nodes' metrics"`
-	Held    *emptyCmd      `arg:"subcommand:quarantine" help:"list the requests under which targets crashed"`
-	Lift    *liftCmd       `arg:"subcommand:lift" help:"have a request that is held back be sent again"`
-	Resolve *resolveCmd    `arg:"subcommand:resolve" help:"settle a change whose fate is not known"`
-	Leave   *emptyCmd      `arg:"subcommand:leave" help:"make the node leave the fleet"`
-	NewTok  *tokenCmd      `arg:"subcommand:token" help:"make a token and show its hash"`
+	Apply    *applyCmd      `arg:"subcommand:apply" help:"bring workspaces and services to the state of a file"`
+	Get      *nameCmd       `arg:"subcommand:get" help:"show a workspace or a service"`
+	List     *nameCmd       `arg:"subcommand:list" help:"list a workspace's services"`
+	Delete   *nameCmd       `arg:"subcommand:delete" help:"delete a service"`
+	History  *historyCmd    `arg:"subcommand:history" help:"show the audit trail of a workspace or a service"`
+	Drain    *drainCmd      `arg:"subcommand:drain" help:"send a target no new work"`
+	Evacuate *hallCmd       `arg:"subcommand:evacuate" help:"send a hall's targets nothing further, until it is restored"`
+	Restore  *hallCmd       `arg:"subcommand:restore" help:"let an evacuated hall's targets take work again"`
+	InForce  *nameCmd       `arg:"subcommand:in-force" help:"show which version each node uses"`
+	Status   *emptyCmd      `arg:"subcommand:status" help:"show a node, its peers and its services' targets"`
+	Report   *reportCmd     `arg:"subcommand:report" help:"show what failed"`
+	Explain  *explainCmd    `arg:"subcommand:explain" help:"say from the nodes' logs what became of a request"`
+	Spaces   *workspacesCmd `arg:"subcommand:workspaces" help:"show what workspaces with a limit made of it, from the nodes' metrics"`
+	Held     *emptyCmd      `arg:"subcommand:quarantine" help:"list the requests under which targets crashed"`
+	Lift     *liftCmd       `arg:"subcommand:lift" help:"have a request that is held back be sent again"`
+	Resolve  *resolveCmd    `arg:"subcommand:resolve" help:"settle a change whose fate is not known"`
+	Leave    *emptyCmd      `arg:"subcommand:leave" help:"make the node leave the fleet"`
+	NewTok   *tokenCmd      `arg:"subcommand:token" help:"make a token and show its hash"`
 }
 
 // Description is shown by --help.
@@ -106,6 +112,8 @@
   tinladderctl token tuul
   tinladderctl apply services.toml --dry-run
   tinladderctl drain tuul/refunds r3
+  tinladderctl evacuate hall-2
+  tinladderctl in-force hall:hall-2
   tinladderctl report tuul --since 12h
   tinladderctl report --logs node1.log node2.log
   tinladderctl report --every 2s --logs node1.log node2.log
--- a/config/document.go
+++ b/config/document.go
@@ -43,6 +43,8 @@
 		return svc.Key(), nil
 	case *tlv1.Document_Workspace:
 		return ident.WorkspaceKey(ident.Workspace(b.Workspace.GetName())), nil
+	case *tlv1.Document_Hall:
+		return ident.HallKey(ident.Hall(b.Hall.GetName())), nil
 	}
 	return "", errors.Mark(errors.New("document has no body"), ErrInvalid)
 }
@@ -62,6 +64,8 @@
 		return checkService(b.Service)
 	case *tlv1.Document_Workspace:
 		return checkWorkspace(b.Workspace)
+	case *tlv1.Document_Hall:
+		return errors.Wrap(ident.CheckName(b.Hall.GetName()), "name")
 	}
 	return nil
 }
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -39,6 +39,8 @@
 	AllServices = "svc/"
 	// AllWorkspaces is the prefix of the keys of all workspaces.
 	AllWorkspaces = "ws/"
+	// AllHalls is the prefix of the keys of all halls.
+	AllHalls = "hall/"
 )
 
 // ErrName says that a name is empty, too long, or has a character that names may not have.
@@ -117,6 +119,11 @@
 	return Key(AllWorkspaces + string(w))
 }
 
+// HallKey returns the key of the hall's document.
+func HallKey(h Hall) Key {
+	return Key(AllHalls + string(h))
+}
+
 // A Process struct names one process of a node.
 type Process struct {
 	Node        Node
--- a/node/book.go
+++ b/node/book.go
@@ -24,6 +24,8 @@
 type book struct {
 	workspaces map[ident.Workspace]*workspace
 	services   map[string]*tlv1.Document
+	// evacuated are the halls whose targets are to get nothing.
+	evacuated map[ident.Hall]bool
 }
 
 // A workspace is one customer's tokens and routes.
@@ -43,7 +45,7 @@
 // newBook returns the documents' book. Documents that make no sense were refused when they were
 // written, and are left out here.
 func newBook(list []replica.Record) *book {
-	b := &book{workspaces: map[ident.Workspace]*workspace{}, services: map[string]*tlv1.Document{}}
+	b := &book{workspaces: map[ident.Workspace]*workspace{}, services: map[string]*tlv1.Document{}, evacuated: map[ident.Hall]bool{}}
 	for _, x := range list {
 		d := &tlv1.Document{}
 		if proto.Unmarshal(x.Value, d) != nil {
@@ -74,6 +76,10 @@
 		b.workspace(ident.Workspace(w.GetName())).doc = w
 		return
 	}
+	if h := d.GetHall(); h != nil {
+		b.evacuated[ident.Hall(h.GetName())] = h.GetEvacuated()
+		return
+	}
 	s := d.GetService()
 	if s.GetDeleted() {
 		return
--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -17,7 +17,7 @@
 	restoredAt clock.Millis
 }
 
-// evacuations returns the halls that are evacuated, or were of late.
+// evacuations returns the halls that are evacuated, or were of late, by the platform's operators or by the fleet's own.
 func (r *records) evacuations() map[ident.Hall]evacuation {
 	byHall := map[ident.Hall]evacuation{}
 	for _, x := range r.sets[store.Evacuations].All() {
@@ -27,6 +27,11 @@
 		}
 		byHall[ident.Hall(x.Key)] = e
 	}
+	for hall, evacuated := range r.book.Load().evacuated {
+		e := byHall[hall]
+		e.inForce = e.inForce || evacuated
+		byHall[hall] = e
+	}
 	return byHall
 }
 
--- a/node/operators.go
+++ b/node/operators.go
@@ -259,12 +259,29 @@
 	return connect.NewResponse(&tlv1.ResolveResponse{Change: c}), nil
 }
 
-// keyFor returns the key of a service or, without one, of the workspace.
-func keyFor(workspace, service string) ident.Key {
-	if service == "" {
-		return ident.WorkspaceKey(ident.Workspace(workspace))
+// A named message names a document: a hall's, a service's or, without either, the workspace's.
+type named interface {
+	GetHall() string
+	GetWorkspace() string
+	GetService() string
+}
+
+func keyOf(m named) ident.Key {
+	switch {
+	case m.GetHall() != "":
+		return ident.HallKey(ident.Hall(m.GetHall()))
+	case m.GetService() == "":
+		return ident.WorkspaceKey(ident.Workspace(m.GetWorkspace()))
 	}
-	return ident.Service{Workspace: ident.Workspace(workspace), Name: service}.Key()
+	return ident.Service{Workspace: ident.Workspace(m.GetWorkspace()), Name: m.GetService()}.Key()
+}
+
+// authorizeNamed returns an error unless the caller may see the document. Halls are nobody's own.
+func (s *operatorServer) authorizeNamed(ctx context.Context, h http.Header, m named) error {
+	if m.GetHall() != "" {
+		return s.authorize(ctx, h, "")
+	}
+	return s.authorize(ctx, h, m.GetWorkspace())
 }
 
 // authorize returns an error unless the caller may see the workspace.
@@ -281,10 +298,10 @@
 
 // Get returns a document.
 func (s *operatorServer) Get(ctx context.Context, req *connect.Request[tlv1.GetRequest]) (*connect.Response[tlv1.GetResponse], error) {
-	if err := s.authorize(ctx, req.Header(), req.Msg.GetWorkspace()); err != nil {
+	if err := s.authorizeNamed(ctx, req.Header(), req.Msg); err != nil {
 		return nil, err
 	}
-	d, err := s.document(ctx, keyFor(req.Msg.GetWorkspace(), req.Msg.GetService()))
+	d, err := s.document(ctx, keyOf(req.Msg))
 	if err != nil {
 		return nil, err
 	}
@@ -314,14 +331,14 @@
 
 // History returns the last changes of a document: the audit trail.
 func (s *operatorServer) History(ctx context.Context, req *connect.Request[tlv1.HistoryRequest]) (*connect.Response[tlv1.HistoryResponse], error) {
-	if err := s.authorize(ctx, req.Header(), req.Msg.GetWorkspace()); err != nil {
+	if err := s.authorizeNamed(ctx, req.Header(), req.Msg); err != nil {
 		return nil, err
 	}
 	limit := int(req.Msg.GetLimit())
 	if limit == 0 {
 		limit = defaultHistory
 	}
-	changes, err := s.node.configs.History(ctx, keyFor(req.Msg.GetWorkspace(), req.Msg.GetService()), limit)
+	changes, err := s.node.configs.History(ctx, keyOf(req.Msg), limit)
 	if err != nil {
 		return nil, rpcError(err)
 	}
@@ -344,10 +361,10 @@
 
 // InForce says which version each live node uses.
 func (s *operatorServer) InForce(ctx context.Context, req *connect.Request[tlv1.InForceRequest]) (*connect.Response[tlv1.InForceResponse], error) {
-	if err := s.authorize(ctx, req.Header(), req.Msg.GetWorkspace()); err != nil {
+	if err := s.authorizeNamed(ctx, req.Header(), req.Msg); err != nil {
 		return nil, err
 	}
-	k := keyFor(req.Msg.GetWorkspace(), req.Msg.GetService())
+	k := keyOf(req.Msg)
 	res := &tlv1.InForceResponse{}
 	res.Nodes = append(res.Nodes, &tlv1.InForce{Node: string(s.node.self.Node), Version: s.node.held(k).GetVersion(), Reached: true})
 	for _, m := range s.node.members.Live() {
