Records that another hall's watcher told first are told to the hall; records are compared once they have differed for 0.2 s

What callers saw: nothing yet; the cost. Cause: a hall's watcher that has a record by another hall's word before the store's answer took it for no news when the answer came, and told its hall of none: all 197 nodes found out by a comparison each. And a word of sums that crossed records on their way asked for one at once. A node that has just started compares at once, as before.

--- a/node/confirm.go
+++ b/node/confirm.go
@@ -186,6 +186,41 @@
 	return address
 }
 
+// differsFor is how long the records of another node must differ from this one's to be compared: records come by datagram,
+// and what was sent before a word of sums may come after it.
+const differsFor clock.Millis = 200
+
+// A difference is between this node's records of a kind and what others said that they hold.
+type difference struct {
+	since clock.Millis
+	// newest is the newest record that any of them said to hold.
+	newest uint64
+}
+
+// lacks takes in that another node's records differ, and says whether it is time to compare: at once while this one has just
+// started, and else if they have differed for long.
+func (d *duty) lacks(k store.Kind, newest uint64) bool {
+	now := d.node.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	x := d.differences[k]
+	if x.since == 0 {
+		x.since = now
+	}
+	x.newest = max(x.newest, newest)
+	d.differences[k] = x
+	return now-x.since >= differsFor || now-d.since <= watcher.StaleAfter
+}
+
+// matched takes in that another node holds the same records. One that lacks as much settles nothing.
+func (d *duty) matched(k store.Kind, newest uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if newest >= d.differences[k].newest {
+		delete(d.differences, k)
+	}
+}
+
 // hearKinds takes in how long ago the store held what the node at the address holds. It returns false if this
 // one should compare its records with that. A newer state is asked for; an older one is nothing to ask for, and
 // neither are older records of another hall.
@@ -201,11 +236,12 @@
 		if set := d.node.records.sets[k]; set.Sum() != s.GetSum() {
 			if k == store.State {
 				d.node.pulls.want(s.GetNewest(), address)
-			} else if !far || s.GetNewest() >= set.Newest() {
+			} else if (!far || s.GetNewest() >= set.Newest()) && d.lacks(k, s.GetNewest()) {
 				same = false
 			}
 			continue
 		}
+		d.matched(k, s.GetNewest())
 		if k == store.State && d.node.records.readable() {
 			d.proof.Heard(clock.Millis(s.GetProved()), now)
 		}
--- a/node/duty.go
+++ b/node/duty.go
@@ -80,6 +80,8 @@
 	place int
 	// missing says that versions of the state may have passed this node by, since the store turned it away.
 	missing bool
+	// differences are between this node's records and others', by kind.
+	differences map[store.Kind]difference
 	// gap says that the changes after the state that this node holds are not to be followed.
 	gap bool
 }
@@ -87,7 +89,7 @@
 func newDuty(n *Node) *duty {
 	return &duty{
 		node: n, since: n.clock.Now(), seeds: waitsForOthers(n), patience: rand.Float64(), confirmed: map[store.Kind]clock.Millis{},
-		asked: map[store.Kind]clock.Millis{}, marks: map[store.Kind]store.Mark{}, hall: watcher.New(n.clock, n.self), place: -1,
+		asked: map[store.Kind]clock.Millis{}, marks: map[store.Kind]store.Mark{}, differences: map[store.Kind]difference{}, hall: watcher.New(n.clock, n.self), place: -1,
 	}
 }
 
--- a/node/regions.go
+++ b/node/regions.go
@@ -33,6 +33,13 @@
 	return len(regions) == 0 || slices.Contains(regions, r)
 }
 
+// isAbroad says whether the hall is known to be in another region than this node.
+func (n *Node) isAbroad(h ident.Hall) bool {
+	own, known := n.settings().Halls[string(n.hall())]
+	region, found := n.settings().Halls[string(h)]
+	return known && found && own != region
+}
+
 // knownHalls returns the halls that the settings name, and this node's own.
 func (n *Node) knownHalls() []ident.Hall {
 	list := []ident.Hall{n.hall()}
--- a/node/services.go
+++ b/node/services.go
@@ -197,7 +197,7 @@
 		until, rate := place.cold(t, turn)
 		byService[t.service] = append(byService[t.service], pool.Target{
 			ID: t.id, Address: t.address, Slots: t.slots, Leaving: t.leaving, WarmAt: max(t.warmAt, until), Life: t.life,
-			Hall: t.hall, Near: near, Ours: turn >= 0, Turn: max(turn, 0),
+			Hall: t.hall, Near: near, Abroad: s.node.isAbroad(t.hall), Ours: turn >= 0, Turn: max(turn, 0),
 			Evacuated: place.evacuations[t.hall].inForce, ColdUntil: until, ColdRate: rate,
 		})
 	}
--- a/node/spread.go
+++ b/node/spread.go
@@ -41,9 +41,10 @@
 }
 
 // forward tells this hall of records that another hall's watcher told this node of, if the hall has no fresh word of its
-// own: else its own watcher tells it, and each record would come once from each hall.
+// own: else its own watcher tells it, and each record would come once from each hall. The watcher itself tells of what it
+// hears so, since the store's answer brings it no news then.
 func (d *duty) forward(k store.Kind, news []replica.Record) {
-	if k == store.State || !d.fresh(k) {
+	if k == store.State || !d.fresh(k) || d.rank() == 0 {
 		d.send(k, news, d.near())
 	}
 }
