--- a/pool/choose.go
+++ b/pool/choose.go
@@ -75,6 +75,9 @@
 	if !t.Near {
 		c += p.tuning.FarCost + p.tuning.FarByteCost*a.Bytes
 	}
+	if t.Abroad {
+		c += p.tuning.AbroadCost
+	}
 	fails := t.belief.Fails(&p.tuning.Model, now)
 	if t.kept {
 		fails = min(fails, p.tuning.Model.Prior())
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -34,8 +34,8 @@
 	Address string
 	Slots   int
 	Hall    ident.Hall
-	// Near targets are in this node's hall.
-	Near bool
+	// Near targets are in this node's hall, and Abroad ones in another region.
+	Near, Abroad bool
 	// Ours are targets that this node tries when too little is known of them: near ones, and those
 	// that are near no node.
 	Ours bool
--- a/pool/tuning.go
+++ b/pool/tuning.go
@@ -15,6 +15,8 @@
 	// FarCost is what a target in another hall costs, and FarByteCost what each byte that goes there and
 	// back adds.
 	FarCost, FarByteCost float64
+	// AbroadCost is what a target in another region costs besides: the way there is long, and dear.
+	AbroadCost float64
 	// LoadCost is what each slot in use costs, as a share of the slots.
 	LoadCost float64
 	// UnreachableFor is how long a target is passed over that this node cannot connect to.
@@ -79,6 +81,7 @@
 	LateCost:         0.55,
 	FarCost:          0.03,
 	FarByteCost:      6e-6,
+	AbroadCost:       0.06,
 	LoadCost:         0.05,
 	UnreachableFor:   1500,
 	PeerAge:          2100,
