--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -305,6 +305,7 @@
 // TestLimitHolds floods the fleet while things go wrong with it. No window has more than the bounds allow, whatever
 // the fleet knows of itself.
 func TestLimitHolds(t *testing.T) {
+	t.Parallel()
 	const flood = 8
 	cases := []struct {
 		name string
@@ -387,6 +388,7 @@
 // moment is not among them, though it goes on with its part. Within two seconds one node said "carriers=1 live=4
 // share=1.0000", another "carriers=2 live=4 share=0.5000", two "carriers=4 live=4 share=0.2500".
 func TestLimitHoldsUnderDoubts(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ nodes, carriers int }{{4, 4}, {30, 6}} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("%d of %d nodes, %d", size.carriers, size.nodes, seed), func(t *testing.T) {
@@ -446,6 +448,7 @@
 // TestUsualWorkIsAdmitted sends what workspaces usually do, evenly and to two nodes of six. Nodes that lend each other
 // refuse nearly nothing; by parts alone a quarter would be refused, and by parts of all nodes nearly all.
 func TestUsualWorkIsAdmitted(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name     string
 		carriers int
--- a/limit/long_test.go
+++ b/limit/long_test.go
@@ -11,6 +11,7 @@
 // TestLongAtTheRate has one workspace ask 1.2 times its rate for 20 s, which no window forbids: it gets 0.97 of its
 // rate at least, whether callers come to all carriers, to two of them, or to one.
 func TestLongAtTheRate(t *testing.T) {
+	t.Parallel()
 	const times, least = 1.2, 0.97
 	for _, nodes := range []int{30, 97} {
 		for _, at := range []int{6, 2, 1} {
--- a/limit/walk_test.go
+++ b/limit/walk_test.go
@@ -14,6 +14,7 @@
 // doubts among nodes, carriers that change. No window of any workspace has more than a plain counter allows. All nodes are killed twice in
 // a window at the most.
 func TestAnyWindowHoldsOverTheFleet(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := rapid.IntRange(2, 24).Draw(t, "nodes")
 		f := newFleet(t, nodes, rapid.IntRange(1, min(nodes, 8)).Draw(t, "carriers"), true, rapid.Uint64().Draw(t, "seed"))
@@ -167,6 +168,7 @@
 // TestCutsThatMoveAsAFleetStarts has cuts of many sizes move to others while the nodes that lose their majority notice it
 // at once, or go on for as long as a suspicion lasts. At no time may two sides hold the limits.
 func TestCutsThatMoveAsAFleetStarts(t *testing.T) {
+	t.Parallel()
 	const nodes, flood = 13, 4
 	for _, notices := range []clock.Millis{0, 2500} {
 		for from := 1; from < nodes; from += 3 {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -130,6 +130,7 @@
 // TestSearchWhileTheStoreIsAway counts the calls of one hall while the store is away for 8 s, and looks how soon all
 // have its word once it is back.
 func TestSearchWhileTheStoreIsAway(t *testing.T) {
+	t.Parallel()
 	const away = 8 * clock.Second
 	cases := []struct {
 		name  string
@@ -165,6 +166,7 @@
 // TestSearchFindsOneThatTheStoreAnswers has the store turn away all but one of five nodes, the strongest too. All
 // nodes must have its word all the time.
 func TestSearchFindsOneThatTheStoreAnswers(t *testing.T) {
+	t.Parallel()
 	for _, how := range []treatment{turns, silent} {
 		is := is.New(t)
 		s := newSim(58)
@@ -186,6 +188,7 @@
 
 // TestWatchersThatEnd has the first half of the hall end at once, which none of the others knows yet.
 func TestWatchersThatEnd(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newSim(58)
 	s.run(5 * clock.Second)
@@ -215,6 +218,7 @@
 // the store comes back. Each counts as in touch 3 s after that, and holds the newest state then if it was answered within
 // 2 s, which leaves one to read it. Pauses that were drawn for the whole hall kept nodes silent for up to 8 s.
 func TestNodesCutFromTheirHallAskOnceTheStoreIsBack(t *testing.T) {
+	t.Parallel()
 	const bound = 2 * clock.Second
 	for _, how := range []treatment{turns, silent} {
 		for _, size := range []int{1, 3, 12, 58} {
