--- a/pool/tuning.go
+++ b/pool/tuning.go
@@ -91,7 +91,7 @@
 	JoinShare:        0.15,
 	ExploreIdle:      1500,
 	SpreadIdle:       1400,
-	CalmSpread:       0.75,
+	CalmSpread:       0.85,
 	SparseBelow:      1.5,
 	DeepSpread:       0.95,
 	SpareBelow:       0.4,
--- a/proof/floor_test.go
+++ b/proof/floor_test.go
@@ -1,6 +1,7 @@
 package proof_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -99,6 +100,26 @@
 	return float64(n) / float64(len(f.shares))
 }
 
+// lowAmong is how likely it is in a window that fewer than seven tenths of a few targets had work, drawn by chance from all
+// that count: of a service's targets few may be sound.
+func (f *floorStats) lowAmong(few int) (share float64) {
+	for _, x := range f.shares {
+		for worked := 0; float64(worked) < 0.7*float64(few); worked++ {
+			share += float64(ways(few, worked)) * math.Pow(x, float64(worked)) * math.Pow(1-x, float64(few-worked)) / float64(len(f.shares))
+		}
+	}
+	return share
+}
+
+// ways is in how many ways some of all can be chosen.
+func ways(all, some int) int {
+	n := 1
+	for i := range some {
+		n = n * (all - i) / (i + 1)
+	}
+	return n
+}
+
 // floors plays some seeds.
 func (d deployment) floors(t *testing.T, tuning pool.Tuning, seeds int) (f floorStats) {
 	for _, x := range plays(t, seeds, func(seed uint64) floorStats { return d.playFloor(tuning, seed+1) }) {
@@ -139,7 +160,7 @@
 // TestWorkIsSpreadBeforeTrouble plays services without trouble. In nearly all windows of two seconds seven tenths of
 // the targets that count as sound must have work.
 func TestWorkIsSpreadBeforeTrouble(t *testing.T) {
-	checkFloor(t, floorDeployments())
+	checkFloor(t, floorDeployments(), true)
 }
 
 // A node was cut from four in ten of its hall's targets, and of six sound targets of a service four had no work for two
@@ -151,11 +172,15 @@
 // TestWorkIsSpreadUnderCuts plays services whose nodes are cut from some of the targets. In nearly all windows of two
 // seconds seven tenths of those that count as sound must have work.
 func TestWorkIsSpreadUnderCuts(t *testing.T) {
-	checkFloor(t, cutDeployments())
+	checkFloor(t, cutDeployments(), false)
 }
 
-// checkFloor fails the test if in one of 100 windows too few of the targets that count as sound had work.
-func checkFloor(t *testing.T, list []deployment) {
+// fewSound is how many of a service's targets may be left that count as sound, after failures and cuts of the others: of 7
+// targets 3 had no work in the two seconds before all nodes were killed, in which 102 of 574 requests were not served.
+const fewSound = 7
+
+// checkFloor fails the test if in one of 100 windows too few of the targets that count as sound had work, or of a few of them.
+func checkFloor(t *testing.T, list []deployment, few bool) {
 	for _, d := range list {
 		t.Run(d.name, func(t *testing.T) {
 			f := d.floors(t, pool.DefaultTuning, 1)
@@ -163,6 +188,11 @@
 			if f.low() > 0.01 {
 				t.Errorf("too few targets had work in %.1f%% of windows", 100*f.low())
 			}
+			among := f.lowAmong(fewSound)
+			t.Logf("too few of %d targets had work in %.1f%% of windows", fewSound, 100*among)
+			if few && among > 0.01 {
+				t.Errorf("too few of %d targets had work in %.1f%% of windows", fewSound, 100*among)
+			}
 		})
 	}
 }
