--- a/node/confirm.go
+++ b/node/confirm.go
@@ -34,7 +34,7 @@
 	d.mu.Unlock()
 	if due {
 		d.confirm()
-		d.tell(d.strangers())
+		d.tell(d.onePerHall())
 	}
 	if repair {
 		d.pass(1)
@@ -52,7 +52,7 @@
 	d.mu.Lock()
 	d.told = d.node.clock.Now()
 	d.mu.Unlock()
-	d.tell(d.near())
+	d.tell(d.hallPeers())
 }
 
 // confirmSoon does the same, once for all that is sent within a tick.
@@ -67,8 +67,8 @@
 	}
 }
 
-// near returns where the other nodes of this hall hear datagrams.
-func (d *duty) near() []string {
+// hallPeers returns where the other nodes of this hall hear datagrams.
+func (d *duty) hallPeers() []string {
 	n := d.node
 	return gossipAddresses(n.members.Live(), func(m *tlv1.Member) bool { return hallOf(m) == n.hall() })
 }
@@ -84,8 +84,8 @@
 	return list
 }
 
-// strangers returns where one node of each other hall, by chance, hears datagrams.
-func (d *duty) strangers() []string {
+// onePerHall returns where one node of each other hall, by chance, hears datagrams.
+func (d *duty) onePerHall() []string {
 	var list []string
 	for _, members := range d.byHall() {
 		list = append(list, members[rand.IntN(len(members))].GetGossipAddress())
@@ -96,7 +96,7 @@
 // relays returns where the nodes hear datagrams that tell their halls what other halls know: the first of each
 // hall's watchers, and one by chance, since the first may have ended just now.
 func (d *duty) relays() []string {
-	list := d.strangers()
+	list := d.onePerHall()
 	for _, members := range d.byHall() {
 		weights := map[ident.Node]uint32{}
 		for _, m := range members {
--- a/node/known.go
+++ b/node/known.go
@@ -32,8 +32,8 @@
 	return list
 }
 
-// strangers returns the members whose hashes are not among those known.
-func strangers(members []*tlv1.Member, known []byte) (list []*tlv1.Member) {
+// unknownTo returns the members whose hashes are not among those known.
+func unknownTo(members []*tlv1.Member, known []byte) (list []*tlv1.Member) {
 	held := map[uint32]bool{}
 	for ; len(known) >= hashBytes; known = known[hashBytes:] {
 		held[binary.LittleEndian.Uint32(known)] = true
--- a/node/peers.go
+++ b/node/peers.go
@@ -130,7 +130,7 @@
 		rest = &tlv1.SyncResponse{}
 	}
 	if !req.Msg.GetRecordsOnly() {
-		rest.Members = strangers(n.members.All(), req.Msg.GetKnown())
+		rest.Members = unknownTo(n.members.All(), req.Msg.GetKnown())
 	}
 	given := p.giveMany(req.Msg, rest, res)
 	if rest != res {
--- a/node/spread.go
+++ b/node/spread.go
@@ -18,9 +18,9 @@
 	bulkRecords = 128
 	// freshWord is the age up to which a hall's word of the store is fresh: two words of its watcher.
 	freshWord = 2 * confirmEvery
-	// strangersTold is how many more nodes a watcher tells of a large record, besides its own hall: each hall has a
+	// morePeersTold is how many more nodes a watcher tells of a large record, besides its own hall: each hall has a
 	// watcher of its own.
-	strangersTold = 4
+	morePeersTold = 4
 )
 
 // spread tells this hall, and a few nodes of each other one, of records that the store had. A node that does not
@@ -36,7 +36,7 @@
 		d.confirm()
 		return
 	}
-	d.send(k, news, append(d.near(), d.relays()...))
+	d.send(k, news, append(d.hallPeers(), d.relays()...))
 	d.tell(d.relays())
 }
 
@@ -45,7 +45,7 @@
 // hears so, since the store's answer brings it no news then.
 func (d *duty) forward(k store.Kind, news []replica.Record) {
 	if k == store.State || !d.fresh(k) || d.rank() == 0 {
-		d.send(k, news, d.near())
+		d.send(k, news, d.hallPeers())
 	}
 }
 
@@ -94,7 +94,7 @@
 		d.sendRecords(&tlv1.Records{Kind: string(store.State), Records: []*tlv1.Record{x}}, to)
 		return
 	}
-	d.pass(strangersTold)
+	d.pass(morePeersTold)
 }
 
 func (d *duty) sendRecords(r *tlv1.Records, addresses []string) {
