Evidence goes to the carriers and the 32 nodes that ask the most, not to all that ever asked of late

Cause: after a change of routes a request comes to each node of the fleet, and each that had one was told of each failure for 8 s: 986 datagrams for each, some 50 to 100 a second. TestBusiestAreFew: 32 of 986, those with many requests. Fleets of up to some 40 nodes tell the same nodes as before.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -89,6 +90,14 @@
 	return list
 }
 
+// Busiest returns the processes that ask the most, at most so many of them, the busiest first.
+func Busiest(asked map[ident.Process]int, most int) []ident.Process {
+	list := slices.SortedFunc(maps.Keys(asked), func(a, b ident.Process) int {
+		return cmp.Or(cmp.Compare(asked[b], asked[a]), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return list[:min(most, len(list))]
+}
+
 // Duty returns the place of a node in the ranking for a duty, from 0, or -1 if it has none.
 //
 // It ranks nobody else, which costs less than the whole ranking and allocates nothing.
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -122,3 +122,23 @@
 		assign.Rank("group", all)
 	}
 }
+
+// TestBusiestAreFew has a request come to each of 986 nodes now and then, and many to forty: a failure is told to a few of
+// those, not to all.
+func TestBusiestAreFew(t *testing.T) {
+	is := is.New(t)
+	asked := map[ident.Process]int{}
+	for i := range 986 {
+		asked[ident.Process{Node: ident.Node(fmt.Sprint("n", i)), Incarnation: 1}] = 1
+		if i%25 == 0 {
+			asked[ident.Process{Node: ident.Node(fmt.Sprint("n", i)), Incarnation: 1}] = 20 + i
+		}
+	}
+	got := assign.Busiest(asked, 32)
+	is.Equal(len(got), 32)
+	is.Equal(got[0].Node, ident.Node("n975"))
+	for _, p := range got {
+		is.True(asked[p] > 1)
+	}
+	is.Equal(len(assign.Busiest(asked, 2000)), 986)
+}
--- a/member/table.go
+++ b/member/table.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/ident"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"google.golang.org/protobuf/proto"
 )
@@ -134,6 +135,16 @@
 	return t.index.members
 }
 
+// Get returns the live node of the name, or nil. The caller must not change it.
+func (t *Table) Get(node ident.Node) *tlv1.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[string(node)]; e != nil && live(e.member) {
+		return e.member
+	}
+	return nil
+}
+
 // All returns everything known, the node itself first. The caller must not change it.
 func (t *Table) All() []*tlv1.Member {
 	t.mu.Lock()
--- a/node/services.go
+++ b/node/services.go
@@ -24,8 +24,11 @@
 	// farEvery to those in others. Failures are told at once.
 	nearEvery clock.Millis = 20
 	farEvery  clock.Millis = 500
-	// usedFor is how long after its last report a node is told of evidence on a service's targets.
-	usedFor = 8 * clock.Second
+	// usedFor is how long after its last report a node is told of evidence on a service's targets, and mostUsers how many
+	// are besides the carriers, the busiest first: now and then a request comes to each node of the fleet, and each failure
+	// would be told to all of them.
+	usedFor   = 8 * clock.Second
+	mostUsers = 32
 )
 
 // A service is what this node knows of one service's targets.
@@ -38,8 +41,8 @@
 	nearAt clock.Millis
 	farAt  clock.Millis
 	queued bool
-	// users are other nodes that were heard to use the service, by when.
-	users map[ident.Process]clock.Millis
+	// users are other nodes that were heard to use the service.
+	users map[ident.Process]use
 	// paces are how long the requests of each route take.
 	paces map[string]*pace
 	// carriers are the nodes that carried the service when last looked at.
@@ -53,6 +56,13 @@
 	filled  atomic.Bool
 }
 
+// A use is what a node last said of its requests for a service.
+type use struct {
+	at clock.Millis
+	// asked is how many of them had ended of late.
+	asked int
+}
+
 // services holds the pools of this node.
 type services struct {
 	node *Node
@@ -127,7 +137,7 @@
 func (s *services) add(name string) *service {
 	n := s.node
 	r := n.settings().Retries
-	svc := &service{name: name, users: map[ident.Process]clock.Millis{}, paces: map[string]*pace{}, sharers: assign.NewSharers()}
+	svc := &service{name: name, users: map[ident.Process]use{}, paces: map[string]*pace{}, sharers: assign.NewSharers()}
 	b := pool.NewBudget(n.clock, r.Ratio*pool.RatioShare, s.slack(svc, true), r.Window.Millis())
 	svc.pool = pool.New(n.tuning, n.clock, newRand(), b, func(w pool.News, of ident.Hall) { s.report(svc, w, of) },
 		func(e pool.Event) { s.note(svc, e) })
@@ -409,19 +419,27 @@
 	n.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Report{Report: r}}, addresses...)
 }
 
-// withUsers adds the nodes that used the service of late to those that carry it.
+// withUsers adds the nodes that used the service the most of late to those that carry it.
 func (s *services) withUsers(svc *service, carriers []*tlv1.Member) []*tlv1.Member {
 	now := s.node.clock.Now()
-	list := slices.Clone(carriers)
+	carry := map[ident.Process]bool{}
+	for _, m := range carriers {
+		carry[processOf(m)] = true
+	}
+	asked := map[ident.Process]int{}
 	svc.mu.Lock()
-	defer svc.mu.Unlock()
-	for _, m := range s.node.members.Live() {
-		p := processOf(m)
-		if at, used := svc.users[p]; !used || now-at > usedFor {
+	for p, u := range svc.users {
+		switch {
+		case now-u.at > usedFor:
 			delete(svc.users, p)
-			continue
+		case !carry[p]:
+			asked[p] = u.asked
 		}
-		if !slices.ContainsFunc(carriers, func(c *tlv1.Member) bool { return processOf(c) == p }) {
+	}
+	svc.mu.Unlock()
+	list := slices.Clone(carriers)
+	for _, p := range assign.Busiest(asked, mostUsers) {
+		if m := s.node.members.Get(p.Node); m != nil && processOf(m) == p {
 			list = append(list, m)
 		}
 	}
@@ -540,7 +558,7 @@
 	}
 	from := ident.Process{Node: ident.Node(r.GetNode()), Incarnation: ident.Incarnation(r.GetIncarnation())}
 	svc.mu.Lock()
-	svc.users[from] = s.node.clock.Now()
+	svc.users[from] = use{at: s.node.clock.Now(), asked: int(r.GetAsked())}
 	svc.mu.Unlock()
 	svc.pool.Hear(from, r)
 }
