--- a/member/index.go
+++ b/member/index.go
@@ -12,8 +12,8 @@
 	// live are the names of the live nodes, in order, and members what is known of each.
 	live    []string
 	members []*tlv1.Member
-	// lent says that members was handed out, and is copied before it changes.
-	lent bool
+	// shared says that members was handed out, and is copied before it changes.
+	shared bool
 	// homes are the live nodes by where they hear gossip.
 	homes map[string]home
 	// strangers are the addresses of seeds and of gone nodes that no live node has; nil if not worked out since a change.
@@ -27,8 +27,8 @@
 
 // update takes in what is known of a node now, in place of what was; nil stands for nothing.
 func (x *index) update(node string, was, is *tlv1.Member) {
-	if x.lent {
-		x.members, x.lent = slices.Clone(x.members), false
+	if x.shared {
+		x.members, x.shared = slices.Clone(x.members), false
 	}
 	i, found := slices.BinarySearch(x.live, node)
 	lives := is != nil && live(is)
@@ -87,7 +87,7 @@
 func (t *Table) someLive(n int, not string) []string {
 	names := t.index.live
 	n = min(n, len(names))
-	if len(names) > few*n {
+	if len(names) > sparseSample*n {
 		return t.sample(names, n, not)
 	}
 	var chosen []string
@@ -102,8 +102,8 @@
 	return chosen
 }
 
-// few is how many times as many names there must be for a few of them to be drawn one by one.
-const few = 4
+// sparseSample is how many times as many names there must be for a sample to be drawn one by one.
+const sparseSample = 4
 
 // sample draws n of many more names.
 func (t *Table) sample(names []string, n int, not string) (chosen []string) {
--- a/member/table.go
+++ b/member/table.go
@@ -131,7 +131,7 @@
 func (t *Table) Live() []*tlv1.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.index.lent = true
+	t.index.shared = true
 	return t.index.members
 }
 
--- a/node/confirm.go
+++ b/node/confirm.go
@@ -190,7 +190,7 @@
 // and what was sent before a word of sums may come after it.
 const differsFor clock.Millis = 200
 
-// A difference is between this node's records of a kind and what others said that they hold.
+// A difference is one between this node's records of a kind and what others said that they hold.
 type difference struct {
 	since clock.Millis
 	// newest is the newest record that any of them said to hold.
--- a/node/decoded.go
+++ b/node/decoded.go
@@ -18,10 +18,10 @@
 	byID map[ident.Target]target
 	// slots are how many the targets of each service have.
 	slots map[string]int
-	// list are the targets by their ids, nil if it is not made; lent says that it was handed out, and is copied before it
+	// list are the targets by their ids, nil if it is not made; shared says that it was handed out, and is copied before it
 	// changes.
 	list []target
-	lent bool
+	shared bool
 	// touched are the keys of records that came since they were last looked at.
 	touched map[string]bool
 	// services are those whose targets have changed since they were last asked for.
@@ -61,8 +61,8 @@
 	if d.list == nil {
 		return
 	}
-	if d.lent {
-		d.list, d.lent = slices.Clone(d.list), false
+	if d.shared {
+		d.list, d.shared = slices.Clone(d.list), false
 	}
 	i, found := slices.BinarySearchFunc(d.list, id, func(x target, id ident.Target) int { return cmp.Compare(x.id, id) })
 	switch {
@@ -121,7 +121,7 @@
 	if d.list == nil {
 		d.list = slices.SortedFunc(maps.Values(d.byID), func(a, b target) int { return cmp.Compare(a.id, b.id) })
 	}
-	d.lent = true
+	d.shared = true
 	return d.list
 }
 
--- a/pool/explore.go
+++ b/pool/explore.go
@@ -33,7 +33,7 @@
 		if !t.Ours || !p.mayUse(t, a, now) || !t.admits(now) || p.inFlight(t, now) >= t.Slots {
 			continue
 		}
-		r := p.due(t, a, want{spread: narrow && p.owed(t, n, now), short: short, sparse: sparse}, now)
+		r := p.due(t, a, conditions{spread: narrow && p.owed(t, n, now), short: short, sparse: sparse}, now)
 		if r != Best && (best == nil || p.sooner(t, best, now)) {
 			best, why = t, r
 		}
@@ -64,30 +64,30 @@
 	return clock.Millis(t.Turn) * turnWait
 }
 
-// A want says what trials are for.
-type want struct {
+// conditions are what makes trials worth their harm, or not.
+type conditions struct {
 	// spread says that the target should have work, short that few slots are free, and sparse that there are more targets
 	// than requests can keep at work.
 	spread, short, sparse bool
 }
 
 // due says why the request should try the target, or Best if it should not.
-func (p *Pool) due(t *target, a *Ask, w want, now clock.Millis) Reason {
+func (p *Pool) due(t *target, a *Ask, c conditions, now clock.Millis) Reason {
 	later := t.later()
 	worked := p.workedAt(t, now)
-	if worked == 0 && t.joined && !(w.sparse && t.early) {
-		if now-t.known > p.tuning.JoinWait+later && !(w.sparse && p.joinTrials < 1) {
+	if worked == 0 && t.joined && !(c.sparse && t.early) {
+		if now-t.known > p.tuning.JoinWait+later && !(c.sparse && p.joinTrials < 1) {
 			return Joined
 		}
 		return Best
 	}
 	idle, failing := now-worked, t.belief.Failing(&p.tuning.Model, now)
 	switch {
-	case a.Repeatable && !w.sparse && len(a.Not) == 0 && idle > p.tuning.ExploreIdle+later && p.budget.Left() > spareAttempts:
+	case a.Repeatable && !c.sparse && len(a.Not) == 0 && idle > p.tuning.ExploreIdle+later && p.budget.Left() > spareAttempts:
 		return Idle
-	case w.spread:
+	case c.spread:
 		return Spread
-	case w.short && failing >= p.tuning.KnownBelow && failing < p.tuning.SpareBelow && p.inFlight(t, now) == 0:
+	case c.short && failing >= p.tuning.KnownBelow && failing < p.tuning.SpareBelow && p.inFlight(t, now) == 0:
 		return Spare
 	}
 	return Best
