--- a/node/decoded.go
+++ b/node/decoded.go
@@ -20,7 +20,7 @@
 	slots map[string]int
 	// list are the targets by their ids, nil if it is not made; shared says that it was handed out, and is copied before it
 	// changes.
-	list []target
+	list   []target
 	shared bool
 	// touched are the keys of records that came since they were last looked at.
 	touched map[string]bool
