--- a/proof/floor_test.go
+++ b/proof/floor_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -175,6 +176,23 @@
 	checkFloor(t, cutDeployments(), false)
 }
 
+// TestFewTargetsHaveWorkUnderCuts asks the same of the few that may be left, as TestWorkIsSpreadBeforeTrouble does.
+func TestFewTargetsHaveWorkUnderCuts(t *testing.T) {
+	for _, d := range cutDeployments() {
+		t.Run(strings.ReplaceAll(d.name, ",", " and"), func(t *testing.T) {
+			f := d.floors(t, pool.DefaultTuning, 1)
+			if among := f.lowAmong(fewSound); among > 0.01 {
+				t.Errorf("too few of %d targets had work in %.1f%% of windows", fewSound, 100*among)
+			}
+		})
+	}
+}
+
+// TestFloorAtTwiceTheSize has twice the targets, nodes and requests of a service of a large deployment.
+func TestFloorAtTwiceTheSize(t *testing.T) {
+	checkFloor(t, []deployment{busy.with("twice the size", func(d *deployment) { d.targets, d.nodes, d.rate = 2*d.targets, 2*d.nodes, 2*d.rate })}, true)
+}
+
 // fewSound is how many of a service's targets may be left that count as sound, after failures and cuts of the others: of 7
 // targets 3 had no work in the two seconds before all nodes were killed, in which 102 of 574 requests were not served.
 const fewSound = 7
