node: the wait for the first desired state counts towards a request's time-out

What callers saw: a request to a node that has just started may wait up to 0.6 s for the desired state, and then for the route's whole time-out: 1.403 s where the route says 1 s.

Cause: the exchange began, and its deadline was set, once the state was there. The wait was in no deadline, nor in the time that the request's log line gives.

TestSoak/stops_21 once saw two 504s after 2.71 s at the same moment where 2.7 s are allowed; that this wait was part of them is only suspected, as it explains 0.6 s of 1.2.

Change: the deadline, and what the log calls the request's time, count from the request's arrival.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -80,16 +80,16 @@
 	lastShed bool
 }
 
-func newExchange(n *Node, w http.ResponseWriter, r *http.Request, route *desired.Route, h forward.Headers) *exchange {
-	now := n.clock.Now()
+// newExchange returns the exchange of a request that arrived then: its time-out includes the wait for a desired state.
+func newExchange(n *Node, w http.ResponseWriter, r *http.Request, route *desired.Route, h forward.Headers, arrived clock.Millis) *exchange {
 	x := &exchange{
-		node: n, w: w, r: r, route: route, headers: h, began: now, deadline: now + route.Timeout,
+		node: n, w: w, r: r, route: route, headers: h, began: arrived, deadline: arrived + route.Timeout,
 		id:      r.Header.Get(h.RequestID),
 		service: n.services.get(route.PickService(rand.Uint32N)),
 	}
 	x.stats = x.service.statsFor(route.Name, n.clock)
 	if ms, err := strconv.ParseInt(r.Header.Get(h.Deadline), 10, 64); err == nil && ms >= 0 {
-		x.deadline = min(x.deadline, now+clock.Millis(ms))
+		x.deadline = min(x.deadline, arrived+clock.Millis(ms))
 	}
 	if !validRequestID(x.id) {
 		x.id = strconv.FormatUint(rand.Uint64(), 16)
--- a/node/front.go
+++ b/node/front.go
@@ -50,8 +50,8 @@
 
 // servePlatform handles a request of the users' platform, routed by host and path.
 func (n *Node) servePlatform(w http.ResponseWriter, r *http.Request) {
-	start := n.clock.Now() // before the request is charged to a limit, so that a refund never exceeds the charge
-	x, problem := n.platformExchange(w, r)
+	arrived := n.clock.Now() // before the request is charged to a limit, so that a refund never exceeds the charge
+	x, problem := n.platformExchange(w, r, arrived)
 	if problem != nil {
 		problem.fractionalSeconds = n.platform.Protocol.Headers.FractionalRetryAfter
 		n.refuse(w, r, *problem)
@@ -61,11 +61,11 @@
 		x.serve(noTicket{})
 		return
 	}
-	x.serve(limitTicket{table: n.quotas.table, workspace: x.workspace.Name, at: start})
+	x.serve(limitTicket{table: n.quotas.table, workspace: x.workspace.Name, at: arrived})
 }
 
 // platformExchange returns the exchange for a request that is admitted, or the problem with it.
-func (n *Node) platformExchange(w http.ResponseWriter, r *http.Request) (*exchange, *Problem) {
+func (n *Node) platformExchange(w http.ResponseWriter, r *http.Request, arrived clock.Millis) (*exchange, *Problem) {
 	t := n.records.await(r)
 	if t == nil {
 		return nil, &Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyRetryAfter, Detail: n.records.noStateReason()}
@@ -84,7 +84,7 @@
 	if problem := checkSizes(t.Limits, r); problem != nil {
 		return nil, problem
 	}
-	x := newExchange(n, w, r, route, n.platform.Protocol.Headers)
+	x := newExchange(n, w, r, route, n.platform.Protocol.Headers, arrived)
 	x.stripKey = t.Access != nil
 	x.allowedHalls = n.allowedHalls(route, workspace)
 	if problem := x.checkLeaving(NotRun); problem != nil || workspace == nil {
