node: TestPartsOfLimitsStayAsRequestsComeAndGo begins once all nodes know each other

The test began once six shares had been taken. It now waits until all nine nodes know the others and no share has changed for a second, and wants six nodes with a share then. That none moves as requests come is checked as before.

--- a/node/quotas_test.go
+++ b/node/quotas_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -26,8 +27,14 @@
 	f.store.ConfigureKeyed(1, []string{"desk"}, []standin.WorkspaceRow{{Name: "shop", Keys: []string{"key"}, Rank: 1, PerSecond: 900, Burst: 900}},
 		route("/get/", standin.Repeatable, "desk"))
 	f.ready(1, 1)
-	f.eventually("each hall's first two nodes share limits", func() bool { return f.shareChanges("share=0.1667") == 6 })
-	before := f.shareChanges("")
+	f.eventually("all nodes know each other", func() bool {
+		return !slices.ContainsFunc(f.nodes, func(n *testNode) bool { return f.sumOf(n, "tinladder_members") < 8 })
+	})
+	f.eventually("each hall's first two nodes share limits", func() bool { return f.sharers("share=0.1667") == 6 })
+	before := f.settledShareChanges()
+	if n := f.sharers("share=0.1667"); n != 6 {
+		t.Errorf("%d nodes share limits", n)
+	}
 	var wg sync.WaitGroup
 	for i := range 60 {
 		wg.Go(func() {
@@ -55,6 +62,29 @@
 	return n
 }
 
+// settledShareChanges counts the changes of limit shares once there was none for a second: a node that learns late of others
+// may take its share twice.
+func (f *fleet) settledShareChanges() int {
+	last := -1
+	for n := f.shareChanges(""); n != last; n = f.shareChanges("") {
+		last = n
+		time.Sleep(time.Second)
+	}
+	return last
+}
+
+// sharers counts the nodes whose latest change of their limit share says so.
+func (f *fleet) sharers(with string) (n int) {
+	for _, x := range f.nodes {
+		text := x.log.String()
+		line, _, _ := strings.Cut(text[max(strings.LastIndex(text, "event=limit_share"), 0):], "\n")
+		if strings.Contains(line, with) {
+			n++
+		}
+	}
+	return n
+}
+
 // get sends a request with the key of a workspace.
 func (f *fleet) get(n *testNode, id, key string) {
 	h := platform.Headers()
