--- a/node/exchange.go
+++ b/node/exchange.go
@@ -80,7 +80,8 @@
 	lastShed bool
 }
 
-// newExchange returns the exchange of a request that arrived then: its time-out includes the wait for a desired state.
+// newExchange returns the exchange of a request. Its time-out counts from its arrival, so it includes the wait for the first
+// desired state.
 func newExchange(n *Node, w http.ResponseWriter, r *http.Request, route *desired.Route, h forward.Headers, arrived clock.Millis) *exchange {
 	x := &exchange{
 		node: n, w: w, r: r, route: route, headers: h, began: arrived, deadline: arrived + route.Timeout,
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -140,8 +140,8 @@
 	w.element = p.waiting.PushFront(w)
 }
 
-// wait waits for a grant, until then at most or while a target can still respond in time. After the share Tuning.Hold of
-// the latency objective the request may go to a target's own queue.
+// wait waits for a grant, for as long as a target can still respond before the deadline: that was until the given time when
+// the request was queued. After the share Tuning.Hold of the latency objective the request may go to a target's own queue.
 func (p *Pool) wait(ctx context.Context, w *waiter, until clock.Millis) (*Lease, error) {
 	hold := time.NewTimer(time.Duration(p.tuning.Hold * float64(w.request.Objective.Duration())))
 	defer hold.Stop()
--- a/pool/share.go
+++ b/pool/share.go
@@ -37,8 +37,8 @@
 	})
 }
 
-// ReportNearby is Report for the nodes of this hall and of the hall home only. A report to the nodes of all halls still
-// has to tell the others.
+// ReportNearby returns what this node has observed of the targets that changed, for the nodes of this hall and of the hall
+// home. The other halls are still to be told: Report includes these changes again.
 func (p *Pool) ReportNearby(home ident.Hall) *tlv1.Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
