pool: tests of ended requests and of waits without time fail without what they guard

TestEndIsReportedToAllHalls ended the first request of a target, whose response is news that all halls get anyway; it ends a later one now. TestRequestWithoutTimeIsRefusedAtOnce asked for times that the older check of the mean service time refuses too; it now asks for one that only the target's own time rules out, and TestWaitEndsAsNoTargetCanRespond is new.

--- a/pool/audience_test.go
+++ b/pool/audience_test.go
@@ -54,6 +54,8 @@
 	is := is.New(t)
 	n := newTwoHallNode()
 	n.silent = true
+	n.acquireAt(t, "a").Done(pool.Good, false) // the first response is news of the target's health
+	n.Report(false)
 	l := n.acquireAt(t, "a")
 	is.Equal(inFlight(n.Report(false), "a"), 1)
 	l.Done(pool.Good, false)
--- a/pool/response_time_test.go
+++ b/pool/response_time_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -64,21 +66,53 @@
 	is.Equal(l.Target, ident.Target("fast"))
 }
 
-// TestRequestWithoutTimeIsRefusedAtOnce: a request that no target can serve in time does not wait for its deadline, and is
-// told when to come back.
+// TestRequestWithoutTimeIsRefusedAtOnce: a request that has been at the fast target already has less time left than the
+// slow one takes. It does not wait for its deadline, and is told when to come back.
 func TestRequestWithoutTimeIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
 	n := newUnequalNode(t)
-	for left, most := range map[clock.Millis]time.Duration{30: 15 * time.Millisecond, 150: 125 * time.Millisecond} {
+	n.occupy("fast", 0)
+	for range 60 { // most requests go to the fast target
+		l := n.mustAcquire(t, n.requestWithin(300))
+		n.clock.Advance(50)
+		l.Done(pool.Good, false)
+	}
+	a := n.requestWithin(700)
+	a.Exclude = []ident.Target{"fast"}
+	began := time.Now()
+	_, err := n.Acquire(context.Background(), a)
+	var busy *pool.BusyError
+	is.True(errors.As(err, &busy))
+	is.True(busy.RetryAfter > 0)
+	is.True(time.Since(began) < 350*time.Millisecond)
+}
+
+// TestWaitEndsAsNoTargetCanRespond: the wait for a slot ends when the fastest target needs more time than is left.
+func TestWaitEndsAsNoTargetCanRespond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := clock.NewSystem()
+		budget := pool.NewRetryBudget(c, 0.2, 100, 10*clock.Second)
+		p := pool.New(pool.DefaultTuning, c, rand.New(rand.NewPCG(1, 2)), budget, func(pool.ChangeKind, ident.Hall) {}, func(pool.Event) {})
+		p.SetTargets([]pool.Target{{ID: "a", Address: "a", Slots: 1, SameHall: true}})
+		request := func(left clock.Millis) *pool.Request {
+			return &pool.Request{Began: c.Now(), Objective: 200, Deadline: c.Now() + left}
+		}
+		for range 30 {
+			l, err := p.Acquire(t.Context(), request(3000))
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond)
+			l.Done(pool.Good, false)
+		}
+		l, err := p.Acquire(t.Context(), request(3000)) // keeps the only slot
+		is.NoErr(err)
 		began := time.Now()
-		_, err := n.Acquire(context.Background(), n.requestWithin(left))
-		took := time.Since(began)
+		_, err = p.Acquire(t.Context(), request(400))
 		var busy *pool.BusyError
 		is.True(errors.As(err, &busy))
-		is.True(busy.RetryAfter > 0)
-		t.Logf("%d ms left: refused after %v, come back in %d ms", left, took, busy.RetryAfter)
-		is.True(took < most)
-	}
+		is.Equal(time.Since(began).Round(10*time.Millisecond), 350*time.Millisecond)
+		l.Done(pool.Good, false)
+	})
 }
 
 // TestResponseTimesExpire: a target that was slow for a while gets all kinds of requests again.
