node: TestLargeRecordsAreHandedToAFewAtATime checks what it did before

It allowed a third state once 115 ms have passed, by arithmetic: no trace showed that the red runs were that case, and a check is changed only when one does.

--- a/node/large_state_test.go
+++ b/node/large_state_test.go
@@ -311,8 +311,8 @@
 	}
 }
 
-// TestLargeRecordsAreHandedToAFewAtATime requests a large state from one node eleven times at once, as nodes without any
-// version do, and then as one that claims a version newer than all. Time that passes between the requests frees the link.
+// TestLargeRecordsAreHandedToAFewAtATime requests a large state from one node ten times at once, as nodes without any
+// version do, and then as one that claims a version newer than all.
 func TestLargeRecordsAreHandedToAFewAtATime(t *testing.T) {
 	is := is.New(t)
 	f := newFleetOnLinks(t, 1, 300_000)
@@ -325,9 +325,8 @@
 		is.NoErr(err)
 		return res.Msg
 	}
-	var given, busy, size int
-	began := time.Now()
-	for i := range 11 {
+	var given, busy int
+	for i := range 10 {
 		res := pull(0, fmt.Sprint("10.0.0.", i, ":7002"))
 		switch {
 		case res.GetBusy():
@@ -336,22 +335,18 @@
 			is.Equal(res.GetHolders()[0][:7], "10.0.0.") // it names the nodes served before
 		default:
 			given++
-			size = len(res.GetRecord().GetPacked())
-			is.True(size < 60_000)
+			is.True(len(res.GetRecord().GetPacked()) < 60_000)
 			is.Equal(res.GetRecord().GetBase(), uint64(0))
 		}
 	}
-	took := time.Since(began)
-	is.True(given >= 1)
-	each := time.Duration(size) * time.Second / 150_000 // half of the link, booked up to 0.1 s ahead
-	allowed := 1 + int((took+100*time.Millisecond)/each)
-	t.Logf("%d states of %v each given in %v, %d allowed, %d requests turned away", given, each, took, allowed, busy)
-	is.True(given <= allowed)
-	is.Equal(given+busy, 11)
+	is.True(given >= 1 && given <= 3) // half of the link, booked up to 0.1 s ahead
+	is.True(busy >= 7)
+	newest := pull(0, "").GetRecord().GetVersion()
 	time.Sleep(time.Second)
 	got := pull(1_000_000-1, "10.0.0.11:7002") // held by nobody, and newer than all
 	is.True(got.GetRecord() == nil && !got.GetBusy())
 	is.Equal(pull(0, "10.0.0.12:7002").GetRecord().GetVersion() > 0, true) // the link is free again
+	is.Equal(newest, uint64(0))                                            // that one was turned away
 }
 
 // TestPackedRecordsThatCannotBeReadChangeNothing sends a node a record packed against a version that it does not hold,
