platform: the client times answers by the clock that it is given

Callers saw nothing: in a node both clocks are the system's.

Cause: the client made a clock of its own, whereas the source is given one. A record's time is the source's clock less the time that the client measured for the answer, so whenever a millisecond of the machine's clock began while an answer was read, a source on a clock that stands still subtracted 1 ms.

Ruled out: load; the store's clock, which the next line checks.

Change: NewClient takes the clock, as the other constructors do; nodes pass the one that the source has.

--- a/config/writer_test.go
+++ b/config/writer_test.go
@@ -35,7 +35,7 @@
 	door := standin.NewDoor(standin.New(clock.NewManual(1000), clock.Minute))
 	s := httptest.NewServer(door)
 	t.Cleanup(s.Close)
-	return &testTable{Table: platform.NewTable(platform.NewClient(s.Listener.Addr().String())), door: door}
+	return &testTable{Table: platform.NewTable(platform.NewClient(s.Listener.Addr().String(), clock.NewSystem())), door: door}
 }
 
 // service returns a document that expects the given version. Different queue lengths make documents distinct.
--- a/tinladder.go
+++ b/tinladder.go
@@ -65,7 +65,7 @@
 
 // On returns the users' platform with its store at the address.
 func On(address string, c clock.Clock) node.Platform {
-	client := platform.NewClient(address)
+	client := platform.NewClient(address, c)
 	return node.Platform{
 		Source: func(refused func(store.Refusal)) store.Source { return platform.NewSource(client, c, refused) },
 		Table:  platform.NewTable(client), Suspects: platform.NewSuspects(client),
