node: an answer that is ready after its request's deadline reaches the caller

What callers saw: in the red play of TestSoak/4 a run-once request ran, its node logged it as served with 200 after 2.968 s, and its caller got an end of file. Its node had done nothing for some 2.85 s; why that was is not known.

Cause: the deadlines of a caller's connection are set as its request begins, to the time limit and 0.5 s more. An answer that is ready later was written past the write deadline, which fails after the handler has returned. At the read deadline net/http cancels the request's context, which was taken for a caller that left: a 504 was not sent, and the connection closed.

Change: as an answer is about to be written after the request's deadline, both deadlines are set anew. Once the read deadline may have passed, a canceled context is no sign that the caller left, and the answer closes the connection, since the contexts of further requests on it are canceled too. Within the time limit nothing changes.

--- a/node/answer.go
+++ b/node/answer.go
@@ -67,6 +67,7 @@
 	}
 	h.Set(x.headers.RequestID, x.id)
 	x.node.leaving.setConnectionClose(x.w)
+	x.renewCallerDeadlines()
 	if _, found := h["Content-Type"]; !found {
 		h["Content-Type"] = nil // keeps net/http from guessing one
 	}
@@ -159,6 +160,7 @@
 	x.w.Header().Set(x.headers.RequestID, x.id)
 	p.fractionalSeconds = x.headers.FractionalRetryAfter
 	x.node.leaving.setConnectionClose(x.w)
+	x.renewCallerDeadlines()
 	p.Write(x.w)
 	x.node.events.countFailure(x.service.name, p.Outcome)
 	x.retryAfter = p.RetryAfter
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -140,10 +140,10 @@
 	return &Problem{Status: http.StatusServiceUnavailable, Outcome: o, RetryAfter: leavingRetryAfter, Detail: "this node is about to end; ask another one"}
 }
 
-// callerLeft reports whether the caller has gone. A node that is shutting down stops reading, which also cancels the
-// request's context, so that case is excluded.
+// callerLeft reports whether the caller has gone. The request's context is also canceled when a node that is shutting down
+// stops reading, and at the caller's read deadline, so these cases are excluded.
 func (x *exchange) callerLeft() bool {
-	return x.r.Context().Err() != nil && !x.node.leaving.pendingCanceled()
+	return x.r.Context().Err() != nil && !x.node.leaving.pendingCanceled() && !x.readDeadlinePassed()
 }
 
 // acquire waits for a target for as long as the caller does: no request is sent after its caller has left, whether
--- a/node/held_requests.go
+++ b/node/held_requests.go
@@ -61,5 +61,6 @@
 	x.w.Header().Set(x.headers.RequestID, x.id)
 	p.fractionalSeconds = x.headers.FractionalRetryAfter
 	x.node.leaving.setConnectionClose(x.w)
+	x.renewCallerDeadlines()
 	x.node.refuse(x.w, x.r, *p)
 }
--- a/node/outgoing.go
+++ b/node/outgoing.go
@@ -44,6 +44,28 @@
 	_ = rc.SetWriteDeadline(end)
 }
 
+// renewCallerDeadlines gives the caller time to read a response that is ready only after the request's deadline, as when the
+// process was suspended: the write deadline of setCallerDeadlines would discard it. It is called before the header is
+// written.
+func (x *exchange) renewCallerDeadlines() {
+	if x.node.clock.Now() <= x.deadline {
+		return
+	}
+	rc := http.NewResponseController(x.w)
+	end := time.Now().Add(callerGrace.Duration())
+	_ = rc.SetReadDeadline(end)
+	_ = rc.SetWriteDeadline(end)
+	if x.readDeadlinePassed() {
+		x.w.Header().Set("Connection", "close") // the contexts of further requests on the connection are canceled too
+	}
+}
+
+// readDeadlinePassed reports whether the read deadline of setCallerDeadlines may have passed. net/http then cancels the
+// request's context as if the caller had left.
+func (x *exchange) readDeadlinePassed() bool {
+	return x.node.clock.Now() >= x.deadline+callerGrace
+}
+
 // readBody buffers a small body. A large one is streamed, and can be sent only once.
 func (x *exchange) readBody() (err error) {
 	if x.r.ContentLength == 0 {
