node: TestLargeRecordsAreHandedToAFewAtATime holds the node's clock while it asks

Nobody saw anything: the test was wrong. It asks for a large state ten times and once more, allows up to three of the ten, and wants the eleventh to be refused, as the link should be booked by then. A second state may be given 7.5 ms after the first (it occupies the link for 107.5 ms, 100 ms may be booked ahead), a third at 115 ms. If the ten requests take less than 7.5 ms, the second state goes to the eleventh.

Change: the node's clock stands still while the eleven requests are made, so they are made at once as the test says. All checks stay as they were; that the eleventh is refused no longer depends on how long the ten take.

--- a/node/large_state_test.go
+++ b/node/large_state_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/delta"
 	"github.com/tinladder/tinladder/platform/standin"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
@@ -311,20 +313,48 @@
 	}
 }
 
-// TestLargeRecordsAreHandedToAFewAtATime requests a large state from one node ten times at once, as nodes without any
-// version do, and then as one that claims a version newer than all.
+// heldClock is a node's clock that stands still while it is held.
+type heldClock struct {
+	clock.Clock
+	held atomic.Int64
+}
+
+// Now implements clock.Clock.
+func (c *heldClock) Now() clock.Millis {
+	if held := c.held.Load(); held > 0 {
+		return clock.Millis(held)
+	}
+	return c.Clock.Now()
+}
+
+// hold stops the clock, and returns a function that sets it going again.
+func (c *heldClock) hold() (release func()) {
+	c.held.Store(int64(c.Clock.Now()))
+	return func() { c.held.Store(0) }
+}
+
+// TestLargeRecordsAreHandedToAFewAtATime requests a large state from one node eleven times at once, as nodes without any
+// version do, and then as one that claims a version newer than all. The node's clock stands still during the first: a
+// second state may be given 7.5 ms after the one before.
 func TestLargeRecordsAreHandedToAFewAtATime(t *testing.T) {
 	is := is.New(t)
 	f := newFleetOnLinks(t, 1, 300_000)
+	n := f.nodes[0]
+	n.stop()
+	<-n.node.Done()
+	c := &heldClock{Clock: f.clock}
+	n.clock = c
+	f.start(n)
 	f.target("i-1", "desk")
 	f.putLargeState(3, 1400, false)
 	f.ready(3, 1)
-	c := tinladderv1connect.NewFleetServiceClient(f.http, "http://"+f.nodes[0].peersAt)
+	client := tinladderv1connect.NewFleetServiceClient(f.http, "http://"+n.peersAt)
 	pull := func(held uint64, from string) *tlv1.PullResponse {
-		res, err := c.Pull(t.Context(), connect.NewRequest(&tlv1.PullRequest{Kind: string(store.State), Held: held, PeerAddress: from}))
+		res, err := client.Pull(t.Context(), connect.NewRequest(&tlv1.PullRequest{Kind: string(store.State), Held: held, PeerAddress: from}))
 		is.NoErr(err)
 		return res.Msg
 	}
+	release := c.hold()
 	var given, busy int
 	for i := range 10 {
 		res := pull(0, fmt.Sprint("10.0.0.", i, ":7002"))
@@ -342,6 +372,7 @@
 	is.True(given >= 1 && given <= 3) // half of the link, booked up to 0.1 s ahead
 	is.True(busy >= 7)
 	newest := pull(0, "").GetRecord().GetVersion()
+	release()
 	time.Sleep(time.Second)
 	got := pull(1_000_000-1, "10.0.0.11:7002") // held by nobody, and newer than all
 	is.True(got.GetRecord() == nil && !got.GetBusy())
