Targets' rate limits are read, logged and counted

Neither logs nor metrics told whether an answer named a limit, which node knew it, nor why a node sent to such a target, so the three hypotheses on a target that got 19 requests in 4 s where 12 are allowed could not be told apart.

forward reads the header (decimal, also below 1 and 0; the lowest of several; a malformed one leaves what is known); a pool keeps the limit of each target. Events target_limited and target_unlimited, metric tinladder_limited_attempts_total by the reason of the choice. Nothing acts on it yet.

--- a/forward/header.go
+++ b/forward/header.go
@@ -22,6 +22,8 @@
 	NotRun string
 	// Leaving is set on responses of targets that are shutting down.
 	Leaving string
+	// RateLimit is set on responses of targets that limit the rate of requests from all nodes together.
+	RateLimit string
 	// IDOptional allows responses without a request id.
 	IDOptional bool
 	// FractionalRetryAfter says that callers accept fractions of a second in Retry-After.
--- a/node/answer.go
+++ b/node/answer.go
@@ -56,7 +56,7 @@
 
 func (x *exchange) writeHeader(a *forward.Response) {
 	forward.DropHopByHop(a.Header)
-	for _, name := range []string{HeaderOutcome, HeaderReplay, HeaderLeaving} {
+	for _, name := range []string{HeaderOutcome, HeaderReplay, HeaderLeaving, HeaderRateLimit} {
 		if x.w.Header().Get(name) == "" {
 			a.Header.Del(name)
 		}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/access"
 	"github.com/tinladder/tinladder/attempt"
 	"github.com/tinladder/tinladder/clock"
@@ -208,6 +209,7 @@
 	if e.outcome == pool.Good && a.Rest == nil {
 		x.node.suspects.recordSuccess(x)
 	}
+	x.recordRateLimit(t.lease, a)
 	t.lease.Done(e.outcome, a != nil && x.targetClosing(a))
 	if e.outcome == pool.Late || e.outcome == pool.ConnectionLost {
 		// The target's other connections may be dead too. Closing them loses one request in all, rather than one on each.
@@ -215,12 +217,28 @@
 	}
 	x.stats.addAttempt(e, t.request, took)
 	x.node.metrics.attempt(e.outcome, took)
+	if t.lease.Limited {
+		x.node.metrics.limitedAttempt(t.lease.Reason)
+	}
 	if e.outcome != pool.Good {
 		x.logAttempt(t, e, took)
 	}
 	return e
 }
 
+// recordRateLimit records what the response says of its target's rate limit. A malformed one leaves what is known.
+func (x *exchange) recordRateLimit(l *pool.Lease, a *forward.Response) {
+	if a == nil {
+		return
+	}
+	limit, err := x.headers.ParseRateLimit(a.Header)
+	if err != nil {
+		x.node.log.WithFields(logrus.Fields{"event": "bad_rate_limit", "request": x.id, "service": x.service.name, "target": l.Target, "error": err}).Warn()
+		return
+	}
+	l.SetRateLimit(limit.Named, limit.PerSecond)
+}
+
 // countAttempt records whether a target may have run the request in an attempt that has ended.
 func (x *exchange) countAttempt(e attemptEnd) {
 	x.lastShed = e.outcome == pool.Shed || e.outcome == pool.Replaced
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -160,6 +160,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`tinladder_attempt_seconds{outcome=%q}`, o)).Update(took.Duration().Seconds())
 }
 
+// limitedAttempt counts an attempt at a target that limits its rate of requests, by why the target was chosen.
+func (m *nodeMetrics) limitedAttempt(why pool.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_limited_attempts_total{why=%q}`, why)).Inc()
+}
+
 func (m *nodeMetrics) belief(k pool.EventKind) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_beliefs_total{event=%q}`, k)).Inc()
 }
--- a/node/protocol.go
+++ b/node/protocol.go
@@ -44,6 +44,9 @@
 	HeaderReplay = "Tinladder-Replay"
 	// HeaderLeaving is on responses of targets that are leaving. It is not forwarded.
 	HeaderLeaving = "Tinladder-Leaving"
+	// HeaderRateLimit is on responses of targets that limit their requests: the requests a second, as a decimal number, that
+	// they take from all nodes together. It is not forwarded.
+	HeaderRateLimit = "Tinladder-Rate-Limit"
 	// HeaderNotRun is on responses of targets that did not run the request.
 	HeaderNotRun = "Tinladder-Not-Run"
 	// HeaderPassed is on requests between nodes only.
@@ -58,7 +61,7 @@
 
 // ownHeaders are the headers of the fleet's own protocol.
 var ownHeaders = forward.Headers{
-	RequestID: HeaderRequestID, Deadline: HeaderDeadline, NotRun: HeaderNotRun, Leaving: HeaderLeaving,
+	RequestID: HeaderRequestID, Deadline: HeaderDeadline, NotRun: HeaderNotRun, Leaving: HeaderLeaving, RateLimit: HeaderRateLimit,
 	IDOptional: true, SetForwarded: true,
 }
 
--- a/node/services.go
+++ b/node/services.go
@@ -597,9 +597,15 @@
 func (s *services) recordEvent(svc *service, e pool.Event) {
 	s.node.metrics.belief(e.Kind)
 	if e.By == "" || s.peerBeliefLines.Allow() {
-		s.node.log.WithFields(logrus.Fields{
-			"event": e.Kind, "service": svc.name, "target": e.Target, "failing": fmt.Sprintf("%.2f", e.Failing), "by": e.By,
-		}).Info()
+		f := logrus.Fields{"event": e.Kind, "service": svc.name, "target": e.Target, "by": e.By}
+		switch e.Kind {
+		case pool.TargetLimited:
+			f["per_second"] = e.PerSecond
+		case pool.TargetUnlimited:
+		default:
+			f["failing"] = fmt.Sprintf("%.2f", e.Failing)
+		}
+		s.node.log.WithFields(f).Info()
 	}
 	kind, told := eventKinds[e.Kind]
 	name, err := ident.ParseService(svc.name)
--- a/pool/event.go
+++ b/pool/event.go
@@ -6,7 +6,7 @@
 	"github.com/tinladder/tinladder/ident"
 )
 
-// EventKind is a kind of change in a target's estimated health.
+// EventKind is a kind of change in what is known of a target.
 type EventKind int
 
 // Kinds of events.
@@ -19,19 +19,25 @@
 	TargetLeft
 	// TargetUnreachable means that the target accepts no connection from this node.
 	TargetUnreachable
+	// TargetLimited means that the target has named the rate at which it takes requests, or changed it.
+	TargetLimited
+	// TargetUnlimited means that the target no longer limits its requests.
+	TargetUnlimited
 )
 
 // String returns the kind's name in logs.
 func (k EventKind) String() string {
-	return [...]string{"target_avoided", "target_returned", "target_left", "target_unreachable"}[k]
+	return [...]string{"target_avoided", "target_returned", "target_left", "target_unreachable", "target_limited", "target_unlimited"}[k]
 }
 
-// Event is one change in a target's estimated health.
+// Event is one change in what is known of a target.
 type Event struct {
 	Kind   EventKind
 	Target ident.Target
 	// Failing is the probability that the target is failing now.
 	Failing float64
+	// PerSecond is the rate that the target named, for TargetLimited.
+	PerSecond float64
 	// By names the node that reported the change; it is empty if this node observed it.
 	By ident.Node
 }
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -24,7 +24,11 @@
 	// InFlight is the number of requests that all nodes were known to have at the target, this one included, and
 	// Slots the target's slots.
 	InFlight, Slots int
-	start           clock.Millis
+	// Limited says that the target was known to limit its rate of requests.
+	Limited bool
+	start   clock.Millis
+	// stated is what the response says of the target's rate limit; nil if that is not known.
+	stated          *statedLimit
 	hall            ident.Hall
 	otherHall, done bool
 }
@@ -34,7 +38,7 @@
 	m := &p.tuning.Model
 	l := &Lease{
 		pool: p, target: t, Target: t.ID, Address: t.Address, Reason: c.reason, start: now, hall: t.Hall, otherHall: !t.SameHall,
-		Failing: t.belief.FailingProb(m, now), KnownAge: clock.Millis(age(t.evidenceAt, now)),
+		Limited: t.limit.named, Failing: t.belief.FailingProb(m, now), KnownAge: clock.Millis(age(t.evidenceAt, now)),
 	}
 	if c.runnerUp != nil {
 		l.RunnerUp, l.RunnerUpFailing = c.runnerUp.ID, c.runnerUp.belief.FailingProb(m, now)
@@ -89,6 +93,7 @@
 	l.target.localInFlight--
 	l.target.markLoadChanged()
 	urgent := p.recordOutcome(l, o, closing)
+	urgent = p.applyStatedLimit(l, o, p.clock.Now()) || urgent
 	l.target.farReportPending = l.target.farReportPending || urgent
 	grants := p.grantWaiting()
 	events := p.takeEvents()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -145,6 +145,7 @@
 	farInFlight int
 	// warmupBucket limits what this node sends to the target while it is warming up.
 	warmupBucket tokenBucket
+	limit        rateLimit
 	// responseTime is the shortest recent time until a good response, and respondedAt when the latest one came.
 	responseTime float64
 	respondedAt  clock.Millis
@@ -174,7 +175,7 @@
 	// onChange is called, with no lock held, when there is something to report to the other nodes on a target of
 	// the hall.
 	onChange func(n ChangeKind, of ident.Hall)
-	// onEvent is called, with no lock held, for each change in a target's estimated health.
+	// onEvent is called, with no lock held, for each change in what is known of a target.
 	onEvent func(Event)
 
 	mu          sync.Mutex
