node: failing tests of targets that limit the rate of requests

Six nodes, six targets, 48 requests a second. A target that names 1.5 a second got 65 requests in 4 s where 14 are allowed; one of six that all name limits got 49, 9 allowed at 0.8 a second. In both the load does not change as the limit is named: of 123 attempts at the limited target, by two nodes of its hall, all were chosen as the best (tinladder_limited_attempts_total), none as a hedge or trial.

--- /dev/null
+++ b/node/target_limit_test.go
@@ -0,0 +1,158 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/platform/standin"
+)
+
+const (
+	// limitContact is how long after a target first named its limit the bound applies.
+	limitContact = 3 * time.Second
+	limitWindow  = 4 * time.Second
+)
+
+// maxInWindow returns the most requests that came to the target within limitWindow, of those between the two times.
+func maxInWindow(t *standin.Target, from, until time.Time) (most int) {
+	var window []time.Time
+	for _, s := range t.Seen() {
+		if s.At.Before(from) || s.At.After(until) {
+			continue
+		}
+		window = append(window, s.At)
+		for s.At.Sub(window[0]) >= limitWindow {
+			window = window[1:]
+		}
+		most = max(most, len(window))
+	}
+	return most
+}
+
+// allowedInWindow returns how many requests a target that names the limit may get in a window.
+func allowedInWindow(perSecond float64) int {
+	return int(1.5*perSecond*limitWindow.Seconds() + 5)
+}
+
+// callAll has each node get so many requests a second until stop is called, which returns the replies.
+func (f *fleet) callAll(perSecond int) (stop func() []reply) {
+	var (
+		mu      sync.Mutex
+		replies []reply
+		calls   sync.WaitGroup
+	)
+	end := make(chan struct{})
+	for _, n := range f.nodes {
+		calls.Go(func() {
+			ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+			defer ticker.Stop()
+			for i := 0; ; i++ {
+				select {
+				case <-end:
+					return
+				case <-ticker.C:
+				}
+				calls.Go(func() {
+					r := f.callWithin(n, http.MethodGet, "/get/x", fmt.Sprintf("%s-%d-%d", n.name, i, time.Now().UnixNano()), "", 1000)
+					mu.Lock()
+					defer mu.Unlock()
+					replies = append(replies, r)
+				})
+			}
+		})
+	}
+	return func() []reply {
+		close(end)
+		calls.Wait()
+		return replies
+	}
+}
+
+// limitedFleet starts six nodes and targets in all halls, whose requests take 40 ms.
+func limitedFleet(t *testing.T) (*fleet, []*standin.Target) {
+	t.Helper()
+	f := newFleet(t, 6)
+	var targets []*standin.Target
+	for i := range 6 {
+		x, err := standin.NewTarget(f.store, fmt.Sprint("t", i), "desk", fmt.Sprint("h", i%3), 3, 40*time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(x.Close)
+		targets = append(targets, x)
+	}
+	f.calm(1)
+	f.ready(1, len(targets))
+	return f, targets
+}
+
+// TestLimitOfOneTargetHoldsOverAllNodes guards against a target that names the rate which it takes from all nodes
+// together, and gets from each node what it would get without a limit. The other targets take the rest, and the
+// target has its usual load again soon after it ceased to name a limit.
+func TestLimitOfOneTargetHoldsOverAllNodes(t *testing.T) {
+	f, targets := limitedFleet(t)
+	limited := targets[0]
+	stop := f.callAll(8)
+	time.Sleep(time.Second)
+	limited.SetRateLimit("1.5")
+	time.Sleep(limitContact + 2*limitWindow)
+	limited.SetRateLimit("")
+	ended := limited.RateLimitedAt()
+	count := len(limited.Seen())
+	time.Sleep(limitWindow)
+	after := len(limited.Seen()) - count
+	replies := stop()
+	most := maxInWindow(limited, ended.Add(-2*limitWindow), ended)
+	is := is.New(t)
+	t.Logf("%d requests in 4 s, %d allowed; %d in 4 s after the limit ended", most, allowedInWindow(1.5), after)
+	is.True(most <= allowedInWindow(1.5))
+	is.True(most >= 4)   // a target that names a limit still gets work
+	is.True(after >= 16) // one of six targets has 8 of 48 requests a second
+	for _, r := range replies {
+		is.Equal(r.status, http.StatusOK) // the other targets have slots for all
+	}
+}
+
+// TestLimitsOfAllTargetsHold guards against limits that hold for some targets only, and against requests that wait for
+// targets which cannot take them: what the limits don't allow is refused at once, with a time to come back.
+func TestLimitsOfAllTargetsHold(t *testing.T) {
+	f, targets := limitedFleet(t)
+	limits := []string{"0.8", "1", "1.2", "1.5", "2", "3"}
+	for i, x := range targets {
+		x.SetRateLimit(limits[i])
+	}
+	stop := f.callAll(6)
+	time.Sleep(limitContact + 2*limitWindow)
+	replies := stop()
+	is := is.New(t)
+	for i, x := range targets {
+		rate, err := strconv.ParseFloat(limits[i], 64)
+		is.NoErr(err)
+		most, allowed := maxInWindow(x, x.RateLimitedAt().Add(limitContact), time.Now()), allowedInWindow(rate)
+		t.Logf("limit %s: %d requests in 4 s, %d allowed", limits[i], most, allowed)
+		is.True(most <= allowed)
+		is.True(float64(most) >= rate*limitWindow.Seconds()/2) // what the target takes is used
+	}
+	served, refused := 0, 0
+	for _, r := range replies {
+		switch {
+		case r.status == http.StatusOK:
+			served++
+		case r.status == http.StatusServiceUnavailable:
+			refused++
+			wait, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+			is.NoErr(err)
+			is.True(wait > 0)
+			is.True(r.took < 400*time.Millisecond) // the objective of the route
+		default:
+			is.Equal(r.status, http.StatusOK)
+		}
+	}
+	t.Logf("%d served, %d refused", served, refused)
+	is.True(served > 0)
+}
