throttle: the package warmup under a name that fits what it is to limit next

It holds which node sends how much to a target whose load from all nodes together is limited. So far that is a target that is warming up; targets that name a limit themselves need the same. No code changes but names; TestWarmupLimitHolds passes.

--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -6,7 +6,7 @@
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/replica"
 	"github.com/tinladder/tinladder/store"
-	"github.com/tinladder/tinladder/warmup"
+	"github.com/tinladder/tinladder/throttle"
 )
 
 // An evacuation is the state of a hall that operators have evacuated at some time.
@@ -56,7 +56,7 @@
 	node        *Node
 	evacuations map[ident.Hall]evacuation
 	// view is this node's view of the nodes that may send to targets that are warming up; Owner is set per target.
-	view warmup.View
+	view throttle.View
 }
 
 func (n *Node) newPlacement() placement {
@@ -64,10 +64,10 @@
 }
 
 // warmupView returns this node's view of the nodes that may send to targets that are warming up.
-func (n *Node) warmupView() warmup.View {
+func (n *Node) warmupView() throttle.View {
 	now := n.clock.Now()
 	live := len(n.members.Live()) + 1
-	return warmup.View{
+	return throttle.View{
 		Live: live, PeakLive: n.quotas.peakLive.observe(live, now), Converged: now-n.duty.startedAt >= convergencePeriod && !n.peers.isAlone(),
 	}
 }
@@ -81,7 +81,7 @@
 	}
 	svc := table.Services[t.service]
 	c := p.node.settings().Cold
-	l := warmup.Limit{PerSecond: svc.WarmupPerSecond, Overshoot: c.Overshoot, Slack: c.Slack}
+	l := throttle.Limit{PerSecond: svc.WarmupPerSecond, Overshoot: c.Overshoot, Slack: c.Slack}
 	if !l.Bounded() {
 		return 0, 0
 	}
--- a/warmup/warmup.go
+++ b/throttle/throttle.go
@@ -1,11 +1,11 @@
-// Package warmup limits the load of a target that is warming up: one that started a short time ago, or reports that
+// Package throttle limits the load of a target that is warming up: one that started a short time ago, or reports that
 // it is as slow as if it had. Many nodes may send to it, each by its own view of the fleet, and together they stay
 // below a limit in any second. It does no I/O.
 //
 // The load pattern: a hall's targets come back together, and each of them takes a fraction of its later load. Nodes
 // that each send what they think right send many times that, the targets are overloaded and fail, and their load
 // goes to the other targets that are warming up.
-package warmup
+package throttle
 
 import "github.com/tinladder/tinladder/pool"
 
--- a/warmup/model_test.go
+++ b/throttle/warmup_test.go
@@ -1,4 +1,4 @@
-package warmup_test
+package throttle_test
 
 import (
 	"fmt"
@@ -9,10 +9,10 @@
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/pool"
-	"github.com/tinladder/tinladder/warmup"
+	"github.com/tinladder/tinladder/throttle"
 )
 
-var limits = []warmup.Limit{
+var limits = []throttle.Limit{
 	{PerSecond: 6, Overshoot: 1.5, Slack: 8}, {PerSecond: 2, Overshoot: 1.2, Slack: 5}, {PerSecond: 50, Overshoot: 1.5, Slack: 10},
 }
 
@@ -31,7 +31,7 @@
 type model struct {
 	clock *clock.Manual
 	rand  *rand.Rand
-	limit warmup.Limit
+	limit throttle.Limit
 	nodes []*carrier
 	// partition is the part of the fleet that each node is in; dropped are the pairs of nodes of which the first
 	// gets no packets from the second.
@@ -40,7 +40,7 @@
 	sent      []clock.Millis
 }
 
-func newModel(seed uint64, l warmup.Limit, nodes int) *model {
+func newModel(seed uint64, l throttle.Limit, nodes int) *model {
 	m := &model{clock: clock.NewManual(10_000), rand: rand.New(rand.NewPCG(seed, 1)), limit: l, partition: make([]int, nodes), dropped: map[[2]int]bool{}}
 	for i := range nodes {
 		m.nodes = append(m.nodes, m.start(i))
@@ -81,7 +81,7 @@
 			candidates = append(candidates, assign.Candidate{Node: o.name, Weight: assign.FullWeight})
 		}
 	}
-	v := warmup.View{
+	v := throttle.View{
 		Owner: assign.Position("target", candidates, c.name) == 0, Live: len(candidates), PeakLive: c.known, Converged: now-c.started >= 2*clock.Second,
 	}
 	c.pool.SetTargets([]pool.Target{{ID: "t", Slots: 1000, SameHall: true, WarmupUntil: now + clock.Minute, WarmupRate: m.limit.Rate(v)}})
