A node stands in for senders of a limited target that have no requests

The next node in the target's order sends one now once the target has had none for 1.4 s, or for the time that the limit leaves between two.

--- a/pool/rate_limit.go
+++ b/pool/rate_limit.go
@@ -23,6 +23,8 @@
 	// maxSenderRate is the most requests a second that one node sends to a target with a limit, if there are more
 	// nodes. A node whose view of the others is wrong sends no more than that beyond the limit.
 	maxSenderRate = 1.5
+	// maxSenders bounds the senders, against absurd limits.
+	maxSenders = 1 << 20
 	// limitProbeInterval is how long a target with a limit goes without requests before a node sends one that has no
 	// share of the rate; at a lower rate than one in that time it is longer, up to maxLimitProbeInterval.
 	limitProbeInterval    = 5 * clock.Second
@@ -140,14 +142,17 @@
 	return limited
 }
 
+// senders returns how many nodes have a share of the target's limit.
+func (t *target) senders() int {
+	return min(max(int(math.Ceil(min(t.limit.perSecond/maxSenderRate, maxSenders))), 1), max(t.SenderCount, 1))
+}
+
 // limitRate returns how many requests a second this node may send to a target that limits them.
 func (p *Pool) limitRate(t *target) float64 {
-	nodes := float64(max(t.SenderCount, 1))
-	senders := min(max(math.Ceil(t.limit.perSecond/maxSenderRate), 1), nodes)
-	if t.SenderRank < 0 || float64(t.SenderRank) >= senders {
+	if t.SenderRank < 0 || t.SenderRank >= t.senders() {
 		return 0
 	}
-	return t.limit.perSecond / senders * p.limitShare
+	return t.limit.perSecond / float64(t.senders()) * p.limitShare
 }
 
 // limitAdmits reports whether the target's limit allows a request of this node now.
@@ -171,10 +176,15 @@
 // limitProbeDue reports whether no node is known to have sent the target a request for so long that this one may.
 func (p *Pool) limitProbeDue(t *target, now clock.Millis) bool {
 	interval := maxLimitProbeInterval
-	if t.SenderRank >= 0 {
-		if t.limit.perSecond > 0 {
-			interval = min(interval, clock.Millis(float64(clock.Second)/t.limit.perSecond))
-		}
+	if t.limit.perSecond > 0 {
+		interval = min(interval, clock.Millis(float64(clock.Second)/t.limit.perSecond))
+	}
+	switch {
+	case t.SenderRank < 0:
+		interval = maxLimitProbeInterval
+	case t.SenderRank == t.senders() && p.limitShare >= 1: // stands in for senders that have no requests
+		interval = max(interval, p.tuning.SpreadIdle)
+	default:
 		interval = max(interval, limitProbeInterval) + clock.Millis(t.SenderRank)*trialStagger
 	}
 	idleSince := max(p.workedAt(t, now), t.triedAt, t.addedAt, t.limit.statedAt)
--- a/soak/floor.go
+++ b/soak/floor.go
@@ -23,7 +23,14 @@
 // soundIn says whether the target was ready, and nothing struck it, throughout the time and long before.
 func (b *backend) soundIn(from, to time.Time) bool {
 	long := from.Add(-2 * contact)
-	return b.joinedAt.Before(long) && (b.leftAt.IsZero() || b.leftAt.After(to)) && !overlaps(b.hurt, long, to)
+	return b.joinedAt.Before(long) && (b.leftAt.IsZero() || b.leftAt.After(to)) && !overlaps(b.hurt, long, to) && !b.limitedBelowFloor(long, to)
+}
+
+// limitedBelowFloor says whether the target named a limit in the time by which it takes less than one request in floorFor.
+func (b *backend) limitedBelowFloor(from, to time.Time) bool {
+	return slices.ContainsFunc(b.limits, func(l limitSpan) bool {
+		return l.perSecond < 1/floorFor.Seconds() && overlaps([]span{l.span}, from, to)
+	})
 }
 
 // storeStable says whether nothing struck the way of any node to the store in the time, or shortly before.
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -100,6 +100,7 @@
 	o.checkStates()
 	o.checkKeys()
 	o.checkLimit()
+	o.checkTargetLimits()
 	o.checkFloor()
 	o.checkRank()
 	o.checkGone()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -69,6 +69,7 @@
 	{"target hangs", hangTarget},
 	{"service slow", slowService},
 	{"targets fail", failTargets},
+	{"targets name limits", limitTargets},
 }
 
 // plannedWork is what operators do, stops above all.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,6 +49,7 @@
 	{"target hangs", 6, 0},
 	{"service slow", 4, 300},
 	{"targets fail", 24, 0},
+	{"targets name limits", 12, 0},
 }
 
 // TestSoak runs a few seeds, shorter than by hand.
--- a/soak/world.go
+++ b/soak/world.go
@@ -177,6 +177,8 @@
 	joinedAt, leftAt time.Time
 	// hurt are the times at which faults struck it.
 	hurt []span
+	// limits are the times at which it named limits.
+	limits []limitSpan
 }
 
 // hurting notes that a fault strikes the target until the returned function is called.
