Requests at a node that reaches no target are served by one that does

Now a pool knows that this node is cut off: three targets (or all) accepted no connection, one after the other without a response, and one of them has responded to another node since. Then it tries none, closes idle connections, which may hang, and probes three targets that respond to others every 0.5 s; it is back when all accept. Requests that no target has run are passed over the peers' listener to a node that reaches targets, once, in this hall if there is one; that node authenticates, charges the limits and counts it for the retry budget, and this one takes its charge back. A run-once request is unknown if that node is lost after it was sent. A node that reaches no service's targets tells the others at once; it carries nothing and the directory does not name it, unless all nodes are so. With all nodes cut nobody responds, so nobody passes anything, and requests are refused at once as before.

TestRequestPassedToANodeThatEndsMayHaveRun: 502, run once.

--- a/forward/probe.go
+++ b/forward/probe.go
@@ -50,6 +50,16 @@
 	return r
 }
 
+// Connects reports whether the address accepts a connection within the dial timeout.
+func (p *ConnPool) Connects(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 func (p *ConnPool) probeOnce(ctx context.Context, address string) ProbeResult {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/member/table.go
+++ b/member/table.go
@@ -201,6 +201,19 @@
 	return t.broadcast(leaveFanout)
 }
 
+// AnnounceCutOff sets whether this node reaches no targets though others do, and returns messages that tell the others
+// at once if that has changed.
+func (t *Table) AnnounceCutOff(cutOff bool) []Message {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.self.GetCutOff() == cutOff {
+		return nil
+	}
+	t.self.CutOff = cutOff
+	t.publishSelf()
+	return t.broadcast(leaveFanout)
+}
+
 // AnnounceGone marks the node as gone and returns messages that tell the others.
 func (t *Table) AnnounceGone() []Message {
 	t.mu.Lock()
@@ -368,7 +381,7 @@
 // often, and is read at intervals.
 func affectsRouting(a, b *tlv1.Member) bool {
 	return lifeOf(a) != lifeOf(b) || a.GetIncarnation() != b.GetIncarnation() || a.GetState() != b.GetState() ||
-		a.GetLeaving() != b.GetLeaving() || a.GetWeight() != b.GetWeight() || a.GetHall() != b.GetHall() ||
+		a.GetLeaving() != b.GetLeaving() || a.GetCutOff() != b.GetCutOff() || a.GetWeight() != b.GetWeight() || a.GetHall() != b.GetHall() ||
 		a.GetGossipAddress() != b.GetGossipAddress() || a.GetPeerAddress() != b.GetPeerAddress() || a.GetCallerAddress() != b.GetCallerAddress()
 }
 
--- a/node/answer.go
+++ b/node/answer.go
@@ -29,6 +29,11 @@
 		x.respondUnknown(errors.Newf("status %d without a word on whether the request ran", a.Status), t)
 		return
 	}
+	x.writeResponse(a, t)
+}
+
+// writeResponse sends a response to the caller as it is.
+func (x *exchange) writeResponse(a *forward.Response, t ticket) {
 	x.writeHeader(a)
 	_, err := x.w.Write(a.Body)
 	if a.Rest != nil {
@@ -183,34 +188,3 @@
 		_ = a.Rest.Close()
 	}
 }
-
-// passToNode forwards the request unchanged to another node, in a single attempt, and sends back the response.
-func (x *exchange) passToNode(address string) {
-	if err := x.readBody(); err != nil {
-		x.rejectBody(err, Unknown)
-		return
-	}
-	h := x.r.Header.Clone()
-	forward.DropHopByHop(h)
-	for _, name := range ownRequestHeaders {
-		// Restore it even if the caller's Connection header names it: without its key the request would run again.
-		if v, found := x.r.Header[name]; found {
-			h[name] = v
-		}
-	}
-	h.Set(HeaderPassed, passToHome)
-	h.Set(HeaderCaller, callerAddress(x.r))
-	h.Set(HeaderPeerKey, x.node.keys.peerKey())
-	h.Set(x.headers.RequestID, x.id)
-	ctx, cancel := x.context()
-	defer cancel()
-	a, err := x.node.conns.Send(ctx, address, x.request(h))
-	if err != nil {
-		p := Problem{Status: http.StatusBadGateway, Outcome: Unknown, RetryAfter: passRetryAfter, Detail: "the key's home did not answer"}
-		x.respondProblem(p, causeNoAnswer, err)
-		return
-	}
-	x.w.Header()[HeaderOutcome] = a.Header[HeaderOutcome]
-	x.w.Header()[HeaderReplay] = a.Header[HeaderReplay]
-	x.respond(a, noTicket{})
-}
--- a/node/carriers.go
+++ b/node/carriers.go
@@ -55,12 +55,15 @@
 	return !m.GetLeaving() && m.GetState() == tlv1.NodeState_NODE_STATE_ALIVE
 }
 
-// ready returns the members that callers may be sent to, including this node.
+// ready returns the members that callers may be sent to, including this node: those that reach targets, or all if none does.
 func (c *carriers) ready() []*tlv1.Member {
 	list := slices.DeleteFunc(slices.Clone(c.node.members.Live()), func(m *tlv1.Member) bool { return !isReady(m) })
 	if !c.node.leaving.started() {
 		list = append(list, c.node.members.Self())
 	}
+	if reaching := slices.DeleteFunc(slices.Clone(list), (*tlv1.Member).GetCutOff); len(reaching) > 0 {
+		return reaching
+	}
 	return list
 }
 
--- a/node/cut_off_test.go
+++ b/node/cut_off_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -262,3 +263,47 @@
 	t.Logf("%d of %d refused within the objective", quick, all)
 	is.True(float64(quick) >= 0.9*float64(all))
 }
+
+// TestRequestPassedToANodeThatEndsMayHaveRun guards against a run-once request that is reported as not run, or sent to
+// another node, after the node that it was passed to has ended: its target may have run it.
+func TestRequestPassedToANodeThatEndsMayHaveRun(t *testing.T) {
+	f, cuts := cuttableFleet(t)
+	slow, err := standin.NewTarget(f.store, "slow", "clerk", "h2", 3, 800*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(slow.Close)
+	f.store.Configure(2, []string{"desk", "clerk"}, route("/get/", standin.Repeatable, "desk"), route("/once/", standin.RunOnce, "desk"), route("/slow/", standin.RunOnce, "clerk"))
+	f.ready(2, 7)
+	stop := f.callEach(10)
+	time.Sleep(time.Second)
+	for i, n := range f.nodes {
+		if n.hall != "h2" {
+			cuts[i].set(cutReset)
+		}
+	}
+	f.eventually("the node knows that it is cut off", func() bool { return strings.Contains(f.nodes[0].log.String(), "event=node_reach") })
+	stop()
+	keep := make(chan reply, 1)
+	f.eventually("a request reaches the slow target by another node", func() bool {
+		go func() {
+			keep <- f.call(f.nodes[0], http.MethodPost, "/slow/x", fmt.Sprint("slow-", time.Now().UnixNano()), "body")
+		}()
+		for end := time.Now().Add(400 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if len(slow.Seen()) > 0 {
+				return true
+			}
+		}
+		<-keep
+		return false
+	})
+	for _, n := range f.nodes {
+		if n.hall == "h2" {
+			n.node.Close()
+		}
+	}
+	r := <-keep
+	is := is.New(t)
+	is.Equal(r.status, http.StatusBadGateway)
+	is.Equal(len(slow.Seen()), 1)
+}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -77,6 +77,9 @@
 	waited clock.Millis
 	// retryAfter is the retry delay that was sent to the caller.
 	retryAfter clock.Millis
+	// mayPass is set if the request may be passed to a node that reaches targets, passedTo is the node that responded.
+	mayPass  bool
+	passedTo string
 	// lastShed is set if the last target refused the request without running it.
 	lastShed bool
 }
@@ -116,7 +119,9 @@
 	for {
 		l, err := x.acquire()
 		if err != nil {
-			x.giveUp(err, t)
+			if !x.passToReaching(err, t) {
+				x.giveUp(err, t)
+			}
 			return
 		}
 		if x.refuseIfHeldSince(l, t) {
--- a/node/front.go
+++ b/node/front.go
@@ -44,12 +44,13 @@
 	case r.Header.Get(HeaderToken) != "", strings.HasPrefix(r.URL.Path, ownPathPrefix):
 		n.serveOwn(w, r, "")
 	default:
-		n.servePlatform(w, r)
+		n.servePlatform(w, r, "")
 	}
 }
 
-// servePlatform handles a request of the users' platform, routed by host and path.
-func (n *Node) servePlatform(w http.ResponseWriter, r *http.Request) {
+// servePlatform handles a request of the users' platform, routed by host and path. It is not passed to another node if one
+// passed it here.
+func (n *Node) servePlatform(w http.ResponseWriter, r *http.Request, passed string) {
 	arrived := n.clock.Now() // before the request is charged to a limit, so that a refund never exceeds the charge
 	x, problem := n.platformExchange(w, r, arrived)
 	if problem != nil {
@@ -57,6 +58,7 @@
 		n.refuse(w, r, *problem)
 		return
 	}
+	x.mayPass = passed == ""
 	if x.workspace == nil {
 		x.serve(noTicket{})
 		return
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -160,6 +160,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`tinladder_attempt_seconds{outcome=%q}`, o)).Update(took.Duration().Seconds())
 }
 
+// passed counts a request that was passed to a node that reaches targets.
+func (m *nodeMetrics) passed(err error) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_requests_passed_total{answered="%t"}`, err == nil)).Inc()
+}
+
 // limitedAttempt counts an attempt at a target that limits its rate of requests, by why the target was chosen.
 func (m *nodeMetrics) limitedAttempt(why pool.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_limited_attempts_total{why=%q}`, why)).Inc()
--- a/node/node.go
+++ b/node/node.go
@@ -90,17 +90,19 @@
 	packs         *packs
 	wire          *wire
 	peers         *peers
-	conns         *forward.ConnPool
-	limiter       *limiter
-	quotas        *quotas
-	ledger        *once.Ledger
-	configs       config.Log
-	writer        config.Writer
-	events        *eventLog
-	leaving       *leaving
-	memberLog     *memberLog
-	traffic       *traffic
-	suspects      *suspects
+	// conns holds the connections to targets, nodes those to other nodes that requests are passed to.
+	conns, nodes *forward.ConnPool
+	reach        *reach
+	limiter      *limiter
+	quotas       *quotas
+	ledger       *once.Ledger
+	configs      config.Log
+	writer       config.Writer
+	events       *eventLog
+	leaving      *leaving
+	memberLog    *memberLog
+	traffic      *traffic
+	suspects     *suspects
 
 	doors []*door.Server
 	done  chan struct{}
@@ -116,6 +118,7 @@
 		keys:    newKeyring(s.Fleet.KeyBytes()),
 		metrics: newMetrics(c),
 		conns:   forward.NewConnPool(c, dialTimeout, p.DialTarget),
+		nodes:   forward.NewConnPool(c, dialTimeout, nil),
 		limiter: newLimiter(s.Limits.Requests),
 		configs: config.NewLog(p.Table),
 		writer:  config.NewWriter(p.Table, c),
@@ -143,6 +146,7 @@
 	n.records = newRecords(n)
 	n.source = n.platform.Source(n.records.recordRefusal)
 	n.services = newServices(n)
+	n.reach = newReach(n)
 	n.demand = newDemand(n)
 	n.carriers = newCarriers(n)
 	n.peers = newPeers(n)
@@ -303,6 +307,7 @@
 	n.duty.tick()
 	n.demand.tick()
 	n.services.tick()
+	n.reach.tick()
 	n.records.logSuppressed()
 	n.quotas.tick()
 	n.memberLog.tick()
--- a/node/own.go
+++ b/node/own.go
@@ -13,19 +13,9 @@
 	"github.com/tinladder/tinladder/once"
 )
 
-// passToHome is the value of HeaderPassed on requests that are forwarded to the home node of their key.
-const passToHome = "home"
-
 // passRetryAfter is the default retry delay of the fleet's own API.
 const passRetryAfter = 1 * clock.Second
 
-// serveForPeer handles requests that another node forwards.
-func (n *Node) serveForPeer(w http.ResponseWriter, r *http.Request) {
-	n.leaving.enter()
-	defer n.leaving.exit()
-	n.serveOwn(w, r, r.Header.Get(HeaderPassed))
-}
-
 // rejectedOutcome returns the outcome of a request that this node rejects before it does anything with it. A request
 // with a key may have run on another node before.
 func rejectedOutcome(r *http.Request) Outcome {
@@ -116,6 +106,7 @@
 	raw := r.Header.Get(HeaderKey)
 	switch {
 	case route.Repeatable, raw == "" && route.keyOptional:
+		x.mayPass = passed == ""
 		x.serve(noTicket{})
 		return
 	case raw == "":
--- a/node/request_log.go
+++ b/node/request_log.go
@@ -81,7 +81,9 @@
 	if c != "" && n.leaving.pendingCanceled() {
 		c = causeNodeEnded
 	}
-	x.service.pool.RecordResult(x.poolResult(c, status))
+	if x.passedTo == "" { // the other node counts it
+		x.service.pool.RecordResult(x.poolResult(c, status))
+	}
 	n.metrics.ended(x.route.Repeatable, status, c, took)
 	if c == "" {
 		x.logServed(status, took, now)
@@ -91,7 +93,7 @@
 	n.log.WithFields(logrus.Fields{
 		"event": "request_failed", "request": x.id, "route": x.route.Name, "kind": kindOf(x.route.Repeatable),
 		"service": x.service.name, "status": status, "cause": c, "reason": reason, "targets": x.triedNames(),
-		"ran": x.ran, "ms": took, "waited_ms": x.waited, "retry_after_ms": x.retryAfter, "deadline_ms": x.deadline - x.began,
+		"ran": x.ran, "ms": took, "waited_ms": x.waited, "retry_after_ms": x.retryAfter, "deadline_ms": x.deadline - x.began, "passed_to": x.passedTo,
 		"budget_left": fmt.Sprintf("%.1f", x.service.pool.RetryBudget().Remaining()), "version": n.stateVersion(),
 	}).Warn()
 }
@@ -117,7 +119,7 @@
 	}
 	x.node.log.WithFields(logrus.Fields{
 		"event": "request_served", "request": x.id, "route": x.route.Name, "service": x.service.name, "status": status,
-		"targets": x.triedNames(), "ms": took, "waited_ms": x.waited, "version": x.node.stateVersion(),
+		"targets": x.triedNames(), "ms": took, "waited_ms": x.waited, "passed_to": x.passedTo, "version": x.node.stateVersion(),
 	}).Info()
 }
 
--- a/node/services.go
+++ b/node/services.go
@@ -133,7 +133,7 @@
 // for it. Most nodes of a hall hold only the records.
 func (s *services) needsTargets(svc *service) bool {
 	at := clock.Millis(svc.lastRequestAt.Load())
-	return at > 0 && s.node.clock.Now()-at < poolRetention || s.node.carriers.carries(svc.name)
+	return at > 0 && s.node.clock.Now()-at < poolRetention || s.node.carriers.carries(svc.name) || svc.pool.CutOff()
 }
 
 // add creates a service. The caller holds s.mu.
@@ -619,7 +619,9 @@
 		case pool.TargetLimited:
 			f["per_second"] = e.PerSecond
 			s.assignSenders(svc)
-		case pool.TargetUnlimited:
+		case pool.TargetUnlimited, pool.TargetsReached:
+		case pool.TargetsCutOff:
+			s.node.reach.closeIdle(svc)
 		default:
 			f["failing"] = fmt.Sprintf("%.2f", e.Failing)
 		}
--- a/pool/budget.go
+++ b/pool/budget.go
@@ -41,6 +41,15 @@
 	b.requests = append(dropUntil(b.requests, now-b.window), now)
 }
 
+// RemoveRequest takes back the latest AddRequest, for a request that another node counts.
+func (b *RetryBudget) RemoveRequest() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n := len(b.requests); n > 0 {
+		b.requests = b.requests[:n-1]
+	}
+}
+
 // Allow reports whether another attempt may be made, and counts it if so.
 func (b *RetryBudget) Allow() bool {
 	b.mu.Lock()
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -35,12 +35,17 @@
 
 // mayTake reports whether the request's own conditions allow the target, and the target does not leave.
 func (p *Pool) mayTake(t *target, a *Request) bool {
-	return !t.removed && !t.Leaving && !t.announcedLeave && !t.Evacuated && (a.Halls == nil || a.Halls[t.Hall]) && !slices.Contains(a.Exclude, t.ID)
+	return t.mayWork() && (a.Halls == nil || a.Halls[t.Hall]) && !slices.Contains(a.Exclude, t.ID)
 }
 
 // usable reports whether the target may be given work.
 func (p *Pool) usable(t *target, now clock.Millis) bool {
-	return !t.removed && !t.Leaving && !t.announcedLeave && now >= t.blockedUntil && !p.closed(t, now)
+	return !p.reach.cutOff && t.mayWork() && now >= t.blockedUntil && !p.closed(t, now)
+}
+
+// mayWork reports whether the target takes new work, as far as the target itself and its hall are concerned.
+func (t *target) mayWork() bool {
+	return !t.removed && !t.Leaving && !t.announcedLeave && !t.Evacuated
 }
 
 // inFlight returns the number of requests that all nodes are known to have at the target.
--- /dev/null
+++ b/pool/cut_off_test.go
@@ -0,0 +1,78 @@
+package pool_test
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/pool"
+	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
+)
+
+// failToConnect has so many requests find no connection to their target, and returns the targets.
+func failToConnect(t *testing.T, n *node, requests int) (failed []ident.Target) {
+	t.Helper()
+	for range requests {
+		l := n.mustAcquire(t, n.request(false))
+		l.Done(pool.Unreachable, false)
+		failed = append(failed, l.Target)
+		n.clock.Advance(120)
+	}
+	return failed
+}
+
+// respond has the targets respond to another node just now.
+func respond(n *node, targets ...ident.Target) {
+	var seen []*tlv1.Seen
+	for _, id := range targets {
+		seen = append(seen, &tlv1.Seen{Target: string(id), OkMs: 0, FailedMs: -1})
+	}
+	n.ApplyReport(ident.Process{Node: "peer", Incarnation: 1}, &tlv1.Report{Seen: seen})
+	n.Wake()
+}
+
+// TestNodeCutFromAllTargetsSaysSo guards against a node that goes on trying targets one by one, or refuses requests as if
+// there were no targets, while other nodes have responses from them. It must use the targets again once it reaches some.
+func TestNodeCutFromAllTargetsSaysSo(t *testing.T) {
+	is := is.New(t)
+	n := newSingleNode(t, 10, 3)
+	respond(n, failToConnect(t, n, 3)...)
+	is.True(n.CutOff())
+	_, err := n.Acquire(t.Context(), n.request(false))
+	is.True(errors.Is(err, pool.ErrCutOff))
+	is.Equal(len(n.ReachProbes()), 3)
+	n.RecordReachProbes()
+	is.True(!n.CutOff())
+	is.True(n.TryAcquire(n.request(false)) != nil)
+}
+
+// TestTargetsThatAreDownCutNobodyOff guards against a node that hands its requests to others since targets are down for
+// all nodes.
+func TestTargetsThatAreDownCutNobodyOff(t *testing.T) {
+	is := is.New(t)
+	n := newSingleNode(t, 10, 3)
+	down := map[ident.Target]bool{}
+	for _, id := range failToConnect(t, n, 5) {
+		down[id] = true
+	}
+	for _, x := range targets(10, 3) {
+		if !down[x.ID] {
+			respond(n, x.ID)
+		}
+	}
+	is.True(!n.CutOff())
+}
+
+// TestFewUnreachableTargetsCutNobodyOff guards against a node that takes itself to be cut off though targets respond to it.
+func TestFewUnreachableTargetsCutNobodyOff(t *testing.T) {
+	is := is.New(t)
+	n := newSingleNode(t, 10, 3)
+	var failed []ident.Target
+	for range 4 {
+		failed = append(failed, failToConnect(t, n, 2)...)
+		n.mustAcquire(t, n.request(false)).Done(pool.Good, false)
+	}
+	respond(n, failed...)
+	is.True(!n.CutOff())
+}
--- a/pool/event.go
+++ b/pool/event.go
@@ -23,11 +23,15 @@
 	TargetLimited
 	// TargetUnlimited means that the target no longer limits its requests.
 	TargetUnlimited
+	// TargetsCutOff means that this node reaches no target of the service, though others do.
+	TargetsCutOff
+	// TargetsReached means that this node reaches the service's targets again.
+	TargetsReached
 )
 
 // String returns the kind's name in logs.
 func (k EventKind) String() string {
-	return [...]string{"target_avoided", "target_returned", "target_left", "target_unreachable", "target_limited", "target_unlimited"}[k]
+	return [...]string{"target_avoided", "target_returned", "target_left", "target_unreachable", "target_limited", "target_unlimited", "targets_cut_off", "targets_reached"}[k]
 }
 
 // Event is one change in what is known of a target.
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -137,6 +137,9 @@
 	if o != Unreachable {
 		t.usedAt = max(t.usedAt, l.start)
 	}
+	if o == Good || o == Failed || o == Shed || o == Replaced {
+		p.reach.addResponse()
+	}
 	if o == Failed || o == ConnectionLost || o == Late {
 		elapsed := min(float64(now-l.start), p.tuning.MaxFailTime*p.serviceTime)
 		p.failTime += (elapsed - p.failTime) / smoothing
@@ -158,6 +161,8 @@
 		p.recordLate(t, now)
 		urgent = true
 	case Unreachable:
+		p.reach.addFailure(t.ID, now)
+		p.updateReach(now)
 		t.connectFailures++
 		t.unreachableAt = now
 		p.addEvent(Event{Kind: TargetUnreachable, Target: t.ID, Failing: t.belief.FailingProb(m, now)})
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -203,6 +203,7 @@
 	limitShare float64
 	// formerLimits are those of targets that the pool had a short time ago.
 	formerLimits map[ident.Target]formerLimit
+	reach        reach
 	events       []Event
 }
 
@@ -213,6 +214,7 @@
 		targets: map[ident.Target]*target{}, waiting: list.New(), serviceTime: float64(t.FirstServiceTime), failTime: float64(t.FirstServiceTime),
 		ended: newWindow(t.TroubleWindow), started: newWindow(t.TroubleWindow), peerTallies: map[ident.Process]peerTally{},
 		limitShare: 1, formerLimits: map[ident.Target]formerLimit{},
+		reach: reach{failing: map[ident.Target]clock.Millis{}},
 	}
 }
 
--- /dev/null
+++ b/pool/reach.go
@@ -0,0 +1,159 @@
+package pool
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/ident"
+)
+
+// ErrCutOff means that this node cannot connect to targets that other nodes have responses from.
+var ErrCutOff = errors.New("this node reaches no target, though others do")
+
+// The load pattern: a node loses its network paths to all targets, while callers and the other nodes reach it. Requests
+// on open connections hang, new connections fail one by one. The targets look down from here, and are not: another node
+// could serve what comes to this one.
+
+const (
+	// cutOffTargets is how many targets must accept no connection, one after the other without a response, for this node
+	// to count as cut off; all of them if the service has fewer.
+	cutOffTargets = 3
+	// cutOffWindow is how long a failed connection counts.
+	cutOffWindow = 5 * clock.Second
+)
+
+// reach is whether this node reaches the service's targets.
+type reach struct {
+	// failing are the targets that accepted no connection from this node since any of them last responded to it, and when
+	// that first was.
+	failing map[ident.Target]clock.Millis
+	// cutOff is set until connections to some targets have succeeded again.
+	cutOff bool
+}
+
+// addFailure counts a target that accepted no connection.
+func (r *reach) addFailure(id ident.Target, now clock.Millis) {
+	if _, found := r.failing[id]; !found {
+		r.failing[id] = now
+	}
+}
+
+// addResponse counts a target's response. It does not end that the node is cut off: connections that are open may work
+// on while all new ones fail.
+func (r *reach) addResponse() {
+	if !r.cutOff {
+		clear(r.failing)
+	}
+}
+
+// updateReach determines whether this node is cut off from the targets.
+func (p *Pool) updateReach(now clock.Millis) {
+	if p.reach.cutOff || len(p.reach.failing) == 0 {
+		return
+	}
+	candidates, responding := 0, false
+	for _, t := range p.order {
+		if !t.mayWork() {
+			continue
+		}
+		candidates++
+		at, failing := p.reach.failing[t.ID]
+		responding = responding || failing && t.respondedToPeers(at)
+	}
+	for id, at := range p.reach.failing {
+		if t := p.targets[id]; t == nil || !t.mayWork() || now-at > cutOffWindow {
+			delete(p.reach.failing, id)
+		}
+	}
+	if responding && len(p.reach.failing) >= min(cutOffTargets, candidates) {
+		p.reach.cutOff = true
+		p.addEvent(Event{Kind: TargetsCutOff})
+	}
+}
+
+// CutOff reports whether this node reaches no target of the service, though others do.
+func (p *Pool) CutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reach.cutOff
+}
+
+// ReachProbes returns the addresses of some targets to connect to while this node is cut off: of those that respond to other
+// nodes, if there are any.
+func (p *Pool) ReachProbes() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	var responding, others []string
+	for _, i := range p.rand.Perm(len(p.order)) {
+		switch t := p.order[i]; {
+		case !t.mayWork():
+		case t.respondedToPeers(now - p.tuning.PeerTTL):
+			responding = append(responding, t.Address)
+		default:
+			others = append(others, t.Address)
+		}
+	}
+	if len(responding) > 0 {
+		others = responding
+	}
+	return others[:min(len(others), cutOffTargets)]
+}
+
+// RecordReachProbes records that connections to all addresses of ReachProbes succeeded: the node is not cut off any more.
+func (p *Pool) RecordReachProbes() {
+	p.mu.Lock()
+	p.reach.cutOff = false
+	clear(p.reach.failing)
+	for _, t := range p.order {
+		t.connectFailures, t.blockedUntil = 0, 0
+	}
+	p.addEvent(Event{Kind: TargetsReached})
+	events := p.takeEvents()
+	p.mu.Unlock()
+	p.emit(events)
+}
+
+// UnreachingPeers returns the other nodes that report targets as unreachable, and had no response from any since.
+func (p *Pool) UnreachingPeers() map[ident.Process]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	unreaching, reaching := map[ident.Process]bool{}, map[ident.Process]bool{}
+	for _, t := range p.order {
+		for from, s := range t.peers {
+			switch {
+			case now-s.at > p.tuning.PeerTTL:
+			case s.unreachable && s.okAt < s.unreachableSince:
+				unreaching[from] = true
+			case now-s.okAt < p.tuning.PeerTTL:
+				reaching[from] = true
+			}
+		}
+	}
+	for from := range reaching {
+		delete(unreaching, from)
+	}
+	return unreaching
+}
+
+// reachableByPeers reports whether a target may take the request that accepts no connection from this node, and has
+// responded to another one since.
+func (p *Pool) reachableByPeers(a *Request, now clock.Millis) bool {
+	for _, t := range p.order {
+		if now < t.blockedUntil && p.mayTake(t, a) && t.respondedToPeers(t.unreachableAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// Addresses returns the addresses of all targets.
+func (p *Pool) Addresses() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	addresses := make([]string, 0, len(p.order))
+	for _, t := range p.order {
+		addresses = append(addresses, t.Address)
+	}
+	return addresses
+}
--- a/pool/warmup.go
+++ b/pool/warmup.go
@@ -133,7 +133,8 @@
 	p.mu.Lock()
 	now := p.clock.Now()
 	p.drainIdleLimits(now)
-	ready := false
+	p.updateReach(now)
+	ready := p.reach.cutOff // those that wait are refused
 	if p.waiting.Len() > 0 {
 		for _, t := range p.order {
 			ready = ready || t.isThrottled(now) && p.admits(t, now)
@@ -143,6 +144,8 @@
 	if ready {
 		grants = p.grantWaiting()
 	}
+	events := p.takeEvents()
 	p.mu.Unlock()
 	deliver(grants)
+	p.emit(events)
 }
