Nodes pass nothing to a node that reaches no target of the service either

A report says now whether its sender reaches no target of the service, at once if that changes; such a node gets no requests passed.

--- a/node/pass.go
+++ b/node/pass.go
@@ -144,9 +144,9 @@
 // reachingNode returns a node to pass a request for the service to: one that carries it, of this hall if there are any. It
 // returns nil if none is known that reaches targets.
 func (r *reach) reachingNode(svc *service, tried []string) *tlv1.Member {
-	unreaching := svc.pool.UnreachingPeers()
+	cutOff := svc.pool.CutOffPeers()
 	usable := func(m *tlv1.Member) bool {
-		return processOf(m) != r.node.self && !m.GetCutOff() && isReady(m) && !unreaching[member.ProcessOf(m)] && !slices.Contains(tried, m.GetNode())
+		return processOf(m) != r.node.self && !m.GetCutOff() && isReady(m) && !cutOff[member.ProcessOf(m)] && !slices.Contains(tried, m.GetNode())
 	}
 	var near, far []*tlv1.Member
 	for _, m := range r.node.carriers.all(svc.name) {
--- a/node/services.go
+++ b/node/services.go
@@ -555,7 +555,7 @@
 		r := svc.pool.Report(true)
 		s.setSender(svc, r)
 		for part := range slices.Chunk(r.GetSeen(), seenPerParcel) {
-			one := &tlv1.Report{Node: r.Node, Incarnation: r.Incarnation, Seq: r.Seq, Service: r.Service, Seen: part, Asked: r.Asked, Unserved: r.Unserved, Failed: r.Failed}
+			one := &tlv1.Report{Node: r.Node, Incarnation: r.Incarnation, Seq: r.Seq, Service: r.Service, Seen: part, Asked: r.Asked, Unserved: r.Unserved, Failed: r.Failed, CutOff: r.CutOff}
 			n := gossipAddresses(fresh, func(*tlv1.Member) bool { return true })
 			s.node.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Report{Report: one}}, n...)
 		}
--- a/pool/cut_off_test.go
+++ b/pool/cut_off_test.go
@@ -36,13 +36,16 @@
 // there were no targets, while other nodes have responses from them. It must use the targets again once it reaches some.
 func TestNodeCutFromAllTargetsSaysSo(t *testing.T) {
 	is := is.New(t)
-	n := newSingleNode(t, 10, 3)
+	n, other := newSingleNode(t, 10, 3), newSingleNode(t, 10, 3)
+	n.peers = []*node{other}
 	respond(n, failToConnect(t, n, 3)...)
 	is.True(n.CutOff())
 	_, err := n.Acquire(t.Context(), n.request(false))
 	is.True(errors.Is(err, pool.ErrCutOff))
 	is.Equal(len(n.ReachProbes()), 3)
+	is.True(other.CutOffPeers()[n.name]) // other nodes pass it no requests
 	n.RecordReachProbes()
+	is.True(!other.CutOffPeers()[n.name])
 	is.True(!n.CutOff())
 	is.True(n.TryAcquire(n.request(false)) != nil)
 }
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -162,7 +162,7 @@
 		urgent = true
 	case Unreachable:
 		p.reach.addFailure(t.ID, now)
-		p.updateReach(now)
+		urgent = p.updateReach(now)
 		t.connectFailures++
 		t.unreachableAt = now
 		p.addEvent(Event{Kind: TargetUnreachable, Target: t.ID, Failing: t.belief.FailingProb(m, now)})
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -214,7 +214,7 @@
 		targets: map[ident.Target]*target{}, waiting: list.New(), serviceTime: float64(t.FirstServiceTime), failTime: float64(t.FirstServiceTime),
 		ended: newWindow(t.TroubleWindow), started: newWindow(t.TroubleWindow), peerTallies: map[ident.Process]peerTally{},
 		limitShare: 1, formerLimits: map[ident.Target]formerLimit{},
-		reach: reach{failing: map[ident.Target]clock.Millis{}},
+		reach: newReach(),
 	}
 }
 
--- a/pool/reach.go
+++ b/pool/reach.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"maps"
+
 	"github.com/cockroachdb/errors"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
@@ -28,6 +30,29 @@
 	failing map[ident.Target]clock.Millis
 	// cutOff is set until connections to some targets have succeeded again.
 	cutOff bool
+	// reportPending says that nodes of other halls have not been told of a change of cutOff.
+	reportPending bool
+	// peers are the other nodes that report that they are cut off.
+	peers map[ident.Process]bool
+}
+
+func newReach() reach {
+	return reach{failing: map[ident.Target]clock.Millis{}, peers: map[ident.Process]bool{}}
+}
+
+// set changes whether the node is cut off.
+func (r *reach) set(cutOff bool) {
+	r.cutOff, r.reportPending = cutOff, true
+	clear(r.failing)
+}
+
+// applyReport applies what another node says of itself.
+func (r *reach) applyReport(from ident.Process, cutOff bool) {
+	if cutOff {
+		r.peers[from] = true
+	} else {
+		delete(r.peers, from)
+	}
 }
 
 // addFailure counts a target that accepted no connection.
@@ -45,10 +70,10 @@
 	}
 }
 
-// updateReach determines whether this node is cut off from the targets.
-func (p *Pool) updateReach(now clock.Millis) {
+// updateReach determines whether this node is cut off from the targets, and reports whether it is since now.
+func (p *Pool) updateReach(now clock.Millis) (changed bool) {
 	if p.reach.cutOff || len(p.reach.failing) == 0 {
-		return
+		return false
 	}
 	candidates, responding := 0, false
 	for _, t := range p.order {
@@ -64,10 +89,12 @@
 			delete(p.reach.failing, id)
 		}
 	}
-	if responding && len(p.reach.failing) >= min(cutOffTargets, candidates) {
-		p.reach.cutOff = true
-		p.addEvent(Event{Kind: TargetsCutOff})
+	if !responding || len(p.reach.failing) < min(cutOffTargets, candidates) {
+		return false
 	}
+	p.reach.set(true)
+	p.addEvent(Event{Kind: TargetsCutOff})
+	return true
 }
 
 // CutOff reports whether this node reaches no target of the service, though others do.
@@ -102,19 +129,24 @@
 // RecordReachProbes records that connections to all addresses of ReachProbes succeeded: the node is not cut off any more.
 func (p *Pool) RecordReachProbes() {
 	p.mu.Lock()
-	p.reach.cutOff = false
-	clear(p.reach.failing)
+	p.reach.set(false)
 	for _, t := range p.order {
-		t.connectFailures, t.blockedUntil = 0, 0
+		if t.connectFailures > 0 {
+			t.connectFailures, t.blockedUntil = 0, 0
+			t.markLoadChanged()
+			t.farReportPending = true
+		}
 	}
 	p.addEvent(Event{Kind: TargetsReached})
 	events := p.takeEvents()
 	p.mu.Unlock()
 	p.emit(events)
+	p.onChange(HealthEvidence, "")
 }
 
-// UnreachingPeers returns the other nodes that report targets as unreachable, and had no response from any since.
-func (p *Pool) UnreachingPeers() map[ident.Process]bool {
+// CutOffPeers returns the other nodes that report that they reach no target, or report targets as unreachable and had no
+// response from any since.
+func (p *Pool) CutOffPeers() map[ident.Process]bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -133,6 +165,7 @@
 	for from := range reaching {
 		delete(unreaching, from)
 	}
+	maps.Copy(unreaching, p.reach.peers)
 	return unreaching
 }
 
--- a/pool/share.go
+++ b/pool/share.go
@@ -22,6 +22,7 @@
 func (p *Pool) Report(whole bool) *tlv1.Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer func() { p.reach.reportPending = p.reach.reportPending && whole }()
 	now := p.clock.Now()
 	return p.report(now, whole, func(t *target) bool {
 		if whole {
@@ -57,13 +58,13 @@
 // report returns a report on the targets that include selects, or nil if it is empty.
 func (p *Pool) report(now clock.Millis, whole bool, include func(t *target) bool) *tlv1.Report {
 	ended := p.ended.sum(now)
-	r := &tlv1.Report{Whole: whole, Asked: uint32(ended.asked), Unserved: uint32(ended.unserved), Failed: uint32(ended.failed)}
+	r := &tlv1.Report{Whole: whole, Asked: uint32(ended.asked), Unserved: uint32(ended.unserved), Failed: uint32(ended.failed), CutOff: p.reach.cutOff}
 	for _, t := range p.order {
 		if include(t) {
 			r.Seen = append(r.Seen, p.seen(t, now))
 		}
 	}
-	if len(r.Seen) == 0 && !whole {
+	if len(r.Seen) == 0 && !whole && !p.reach.reportPending {
 		return nil
 	}
 	p.reportSeq++
@@ -132,6 +133,7 @@
 	p.mu.Lock()
 	now := p.clock.Now()
 	p.peerTallies[from] = peerTally{tally: tally{asked: int(r.GetAsked()), unserved: int(r.GetUnserved()), failed: int(r.GetFailed())}, at: now}
+	p.reach.applyReport(from, r.GetCutOff())
 	for _, s := range r.GetSeen() {
 		if t := p.targets[ident.Target(s.GetTarget())]; t != nil && !t.otherLife(s, now) {
 			p.applySeen(t, from, s, now)
--- a/pool/warmup.go
+++ b/pool/warmup.go
@@ -133,7 +133,7 @@
 	p.mu.Lock()
 	now := p.clock.Now()
 	p.drainIdleLimits(now)
-	p.updateReach(now)
+	changed := p.updateReach(now)
 	ready := p.reach.cutOff // those that wait are refused
 	if p.waiting.Len() > 0 {
 		for _, t := range p.order {
@@ -148,4 +148,7 @@
 	p.mu.Unlock()
 	deliver(grants)
 	p.emit(events)
+	if changed {
+		p.onChange(HealthEvidence, "")
+	}
 }
