A node that has had a response within half a second is not cut off

By reading: three connections in a row may fail at a node that reaches many targets and is cut from some, which then would pass all its requests on until three probes of three succeed. Now no target may have responded for 0.5 s, and most probes suffice.

--- a/node/reach.go
+++ b/node/reach.go
@@ -102,7 +102,8 @@
 	}()
 }
 
-// reaches reports whether all addresses accept a connection.
+// reaches reports whether most of the addresses accept a connection. Single targets may be down, and a node that reaches
+// few targets would be cut off again at once.
 func (r *reach) reaches(addresses []string) bool {
 	results := make(chan bool, len(addresses))
 	for _, address := range addresses {
@@ -110,9 +111,11 @@
 			results <- r.node.conns.Connects(context.Background(), address)
 		}()
 	}
-	all := len(addresses) > 0
+	reached := 0
 	for range addresses {
-		all = <-results && all
+		if <-results {
+			reached++
+		}
 	}
-	return all
+	return 2*reached > len(addresses)
 }
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -138,7 +138,7 @@
 		t.usedAt = max(t.usedAt, l.start)
 	}
 	if o == Good || o == Failed || o == Shed || o == Replaced {
-		p.reach.addResponse()
+		p.reach.addResponse(now)
 	}
 	if o == Failed || o == ConnectionLost || o == Late {
 		elapsed := min(float64(now-l.start), p.tuning.MaxFailTime*p.serviceTime)
--- a/pool/reach.go
+++ b/pool/reach.go
@@ -17,8 +17,10 @@
 
 const (
 	// cutOffTargets is how many targets must accept no connection, one after the other without a response, for this node
-	// to count as cut off; all of them if the service has fewer.
-	cutOffTargets = 3
+	// to count as cut off; all of them if the service has fewer. None may have responded for cutOffSilence: a node that
+	// reaches some of many targets has responses in between.
+	cutOffTargets              = 3
+	cutOffSilence clock.Millis = 500
 	// cutOffWindow is how long a failed connection counts.
 	cutOffWindow = 5 * clock.Second
 )
@@ -28,6 +30,8 @@
 	// failing are the targets that accepted no connection from this node since any of them last responded to it, and when
 	// that first was.
 	failing map[ident.Target]clock.Millis
+	// respondedAt is when a target last responded.
+	respondedAt clock.Millis
 	// cutOff is set until connections to some targets have succeeded again.
 	cutOff bool
 	// reportPending says that nodes of other halls have not been told of a change of cutOff.
@@ -64,7 +68,8 @@
 
 // addResponse counts a target's response. It does not end that the node is cut off: connections that are open may work
 // on while all new ones fail.
-func (r *reach) addResponse() {
+func (r *reach) addResponse(now clock.Millis) {
+	r.respondedAt = now
 	if !r.cutOff {
 		clear(r.failing)
 	}
@@ -89,7 +94,7 @@
 			delete(p.reach.failing, id)
 		}
 	}
-	if !responding || len(p.reach.failing) < min(cutOffTargets, candidates) {
+	if !responding || len(p.reach.failing) < min(cutOffTargets, candidates) || now-p.reach.respondedAt < cutOffSilence {
 		return false
 	}
 	p.reach.set(true)
@@ -126,7 +131,7 @@
 	return others[:min(len(others), cutOffTargets)]
 }
 
-// RecordReachProbes records that connections to all addresses of ReachProbes succeeded: the node is not cut off any more.
+// RecordReachProbes records that connections to most addresses of ReachProbes succeeded: the node is not cut off any more.
 func (p *Pool) RecordReachProbes() {
 	p.mu.Lock()
 	p.reach.set(false)
