pool: the tests of cut-off nodes fail without what they guard

TestFewUnreachableTargetsCutNobodyOff passed without the clearing of failures, since half a second without a response is asked for too; it lets a second pass now. New: TestNodeWithFreshResponseIsNotCutOff.

--- a/pool/cut_off_test.go
+++ b/pool/cut_off_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/pool"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
@@ -76,6 +77,20 @@
 		failed = append(failed, failToConnect(t, n, 2)...)
 		n.mustAcquire(t, n.request(false)).Done(pool.Good, false)
 	}
+	n.clock.Advance(clock.Second)
 	respond(n, failed...)
 	is.True(!n.CutOff())
 }
+
+// TestNodeWithFreshResponseIsNotCutOff guards against a node that takes itself to be cut off a moment after a response.
+func TestNodeWithFreshResponseIsNotCutOff(t *testing.T) {
+	is := is.New(t)
+	n := newSingleNode(t, 10, 3)
+	n.mustAcquire(t, n.request(false)).Done(pool.Good, false)
+	failed := failToConnect(t, n, 3)
+	respond(n, failed...)
+	is.True(!n.CutOff())
+	n.clock.Advance(200)
+	n.Wake()
+	is.True(n.CutOff())
+}
