Requests are passed only to nodes that say that they take them

In a fleet that is being upgraded, a node of the build before takes a passed request for one of the fleet's own interface and refuses it with 401, which its caller would get. A member's record says now that its process takes such requests. By reading; a mixed fleet was not run. Passed requests go through the check of their form at the second node too.

--- a/node/front.go
+++ b/node/front.go
@@ -30,14 +30,9 @@
 	defer n.leaving.exit()
 	r.Header.Del(HeaderPassed)
 	r.Header.Del(HeaderCaller)
-	if rejection := reading.CheckTarget(r); rejection != nil {
-		if rejection.Close {
-			w.Header().Set("Connection", "close")
-		}
-		n.refuse(w, r, Problem{Status: rejection.Status, Outcome: rejectedOutcome(r), Detail: rejection.Reason})
+	if !n.checkForm(w, r) {
 		return
 	}
-	r.RequestURI = reading.OriginForm(r)
 	switch {
 	case r.URL.Path == DiscoveryPath && r.Method == http.MethodGet:
 		n.serveDiscovery(w, r)
@@ -48,6 +43,20 @@
 	}
 }
 
+// checkForm refuses a request that targets could read in another way, brings others into origin form, and reports whether the
+// request may go on.
+func (n *Node) checkForm(w http.ResponseWriter, r *http.Request) bool {
+	if rejection := reading.CheckTarget(r); rejection != nil {
+		if rejection.Close {
+			w.Header().Set("Connection", "close")
+		}
+		n.refuse(w, r, Problem{Status: rejection.Status, Outcome: rejectedOutcome(r), Detail: rejection.Reason})
+		return false
+	}
+	r.RequestURI = reading.OriginForm(r)
+	return true
+}
+
 // servePlatform handles a request of the users' platform, routed by host and path. It is not passed to another node if one
 // passed it here.
 func (n *Node) servePlatform(w http.ResponseWriter, r *http.Request, passed string) {
--- a/node/node.go
+++ b/node/node.go
@@ -138,6 +138,7 @@
 	self := &tlv1.Member{
 		Node: s.Node.Name, Incarnation: uint64(n.self.Incarnation), Hall: s.Node.Hall, Weight: weightOf(s.Capacity),
 		GossipAddress: s.Node.PeersAddress(), PeerAddress: s.Node.PeersAddress(), CallerAddress: s.Node.Callers,
+		TakesPassed: true,
 	}
 	n.members = member.New(self, memberTiming, n.clock, newRand())
 	n.members.AddSeeds(s.Fleet.Seeds)
--- a/node/pass.go
+++ b/node/pass.go
@@ -34,11 +34,12 @@
 	n.leaving.enter()
 	defer n.leaving.exit()
 	passed := r.Header.Get(HeaderPassed)
-	if passed == passToTargets && r.Header.Get(HeaderToken) == "" {
+	switch {
+	case passed != passToTargets || r.Header.Get(HeaderToken) != "":
+		n.serveOwn(w, r, passed)
+	case n.checkForm(w, r):
 		n.servePlatform(w, r, passed)
-		return
 	}
-	n.serveOwn(w, r, passed)
 }
 
 // passToNode forwards the request unchanged to its key's home, in a single attempt, and sends back the response.
@@ -146,7 +147,7 @@
 func (r *reach) reachingNode(svc *service, tried []string) *tlv1.Member {
 	cutOff := svc.pool.CutOffPeers()
 	usable := func(m *tlv1.Member) bool {
-		return processOf(m) != r.node.self && !m.GetCutOff() && isReady(m) && !cutOff[member.ProcessOf(m)] && !slices.Contains(tried, m.GetNode())
+		return processOf(m) != r.node.self && !m.GetCutOff() && m.GetTakesPassed() && isReady(m) && !cutOff[member.ProcessOf(m)] && !slices.Contains(tried, m.GetNode())
 	}
 	var near, far []*tlv1.Member
 	for _, m := range r.node.carriers.all(svc.name) {
