--- a/node/cut_off_test.go
+++ b/node/cut_off_test.go
@@ -166,6 +166,7 @@
 // TestCallersOfNodesCutFromAllTargetsAreServed guards against nodes that are cut from all targets, of all kinds of cuts,
 // and refuse what comes to them though other nodes reach the targets. Callers hold on to the addresses of these nodes.
 func TestCallersOfNodesCutFromAllTargetsAreServed(t *testing.T) {
+	t.Parallel()
 	for _, how := range []string{cutHang, cutReset, cutNew} {
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
@@ -204,6 +205,7 @@
 // TestCallersAreSentToNodesThatReachTargets guards against look-ups that lead callers to nodes which are cut from all
 // targets, and against nodes that never get callers again once they are not.
 func TestCallersAreSentToNodesThatReachTargets(t *testing.T) {
+	t.Parallel()
 	f, cuts := cuttableFleet(t)
 	stop := f.callEach(10)
 	defer stop()
@@ -237,6 +239,7 @@
 // TestNodesAllCutFromAllTargetsRefuseAtOnce guards against requests that are handed from node to node, or wait until
 // their deadline, while no node reaches a target.
 func TestNodesAllCutFromAllTargetsRefuseAtOnce(t *testing.T) {
+	t.Parallel()
 	f, cuts := cuttableFleet(t)
 	warm := f.callEach(10)
 	time.Sleep(time.Second)
@@ -267,6 +270,7 @@
 // TestRequestPassedToANodeThatEndsMayHaveRun guards against a run-once request that is reported as not run, or sent to
 // another node, after the node that it was passed to has ended: its target may have run it.
 func TestRequestPassedToANodeThatEndsMayHaveRun(t *testing.T) {
+	t.Parallel()
 	f, cuts := cuttableFleet(t)
 	slow, err := standin.NewTarget(f.store, "slow", "clerk", "h2", 3, 800*time.Millisecond)
 	if err != nil {
