--- a/pool/warmup.go
+++ b/pool/throttled.go
@@ -6,9 +6,9 @@
 	"github.com/tinladder/tinladder/clock"
 )
 
-// WarmupBurst is the number of requests that a node may send at once to a target that is warming up, on top of its
+// ThrottledBurst is the number of requests that a node may send at once to a target at a limited rate, on top of that
 // rate.
-const WarmupBurst = 1
+const ThrottledBurst = 1
 
 // A tokenBucket limits what this node sends to one target. Its zero value is full.
 type tokenBucket struct {
@@ -23,12 +23,12 @@
 
 // take counts a request that is sent now.
 func (b *tokenBucket) take(now clock.Millis, perSecond float64) {
-	b.used, b.at = b.debt(now, perSecond)+WarmupBurst, now
+	b.used, b.at = b.debt(now, perSecond)+ThrottledBurst, now
 }
 
 // drain leaves no burst.
 func (b *tokenBucket) drain(now clock.Millis) {
-	b.used, b.at = WarmupBurst, now
+	b.used, b.at = ThrottledBurst, now
 }
 
 // wait returns how long it takes until the node may send one more request.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -41,6 +41,14 @@
 	{31, "a request that crashed its targets was sent on for as long as it came"},
 }
 
+// limited are run in CI: targets that name limits, beside faults of nodes, as by hand.
+var limited = []struct {
+	seed uint64
+	why  string
+}{
+	{103, "a target that names one request a second had no work for 2 s while most nodes were frozen or stopped"},
+}
+
 // scenarios are run in CI: what seeds rarely bring about, one fault again and again.
 var scenarios = []struct {
 	fault            string
@@ -80,6 +88,14 @@
 			run(t, cfg)
 		})
 	}
+	for _, s := range limited {
+		t.Run(fmt.Sprint("limits ", s.seed), func(t *testing.T) {
+			t.Parallel()
+			cfg := soak.Usual(s.seed, binary, t.TempDir())
+			cfg.Only = []string{"targets name limits", "freeze", "kill", "cut one way", "terminate"}
+			judge(t, cfg)
+		})
+	}
 	for _, s := range scenarios {
 		t.Run(s.fault, func(t *testing.T) {
 			t.Parallel()
@@ -111,6 +127,12 @@
 	t.Helper()
 	cfg.Nodes, cfg.Targets, cfg.Rate = 4, targets, 40
 	cfg.Faults, cfg.Calm = 8*time.Second, 4*time.Second
+	judge(t, cfg)
+}
+
+// judge plays a run, and fails the test if it broke a promise.
+func judge(t *testing.T, cfg soak.Config) {
+	t.Helper()
 	r, err := soak.Run(cfg)
 	if err != nil {
 		t.Fatal(err)
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -63,12 +63,12 @@
 }
 
 // Rate returns how many requests a second the node may send to a target that is warming up, on top of
-// pool.WarmupBurst; 0 if it may send none. Only a target's owner, the first node in the target's own order, sends
+// pool.ThrottledBurst; 0 if it may send none. Only a target's owner, the first node in the target's own order, sends
 // to it, at no more than it withstands. Views differ while nodes join, leave and are partitioned, and all that may
 // consider themselves the owner together send less than the limit.
 func (l Limit) Rate(v View) float64 {
 	if !v.Owner || !v.MaySend() {
 		return 0
 	}
-	return max(min(l.PerSecond, l.Max()/maxOwners-pool.WarmupBurst), 0)
+	return max(min(l.PerSecond, l.Max()/maxOwners-pool.ThrottledBurst), 0)
 }
