A node is cut off until a target has responded or its probes succeed

Cause: a node counted a service as reached if it had a recent request for it and had not found out that it does not reach it; a request for a second service was enough, and callers came back. A node that is cut off passes all requests on at once now.

Two more, by reading and unit tests: a node that gets requests seldom hears nothing of what others reach and refused after six attempts of 0.12 s; it passes a request on after three failed connections without a response.

--- a/node/cut_off_test.go
+++ b/node/cut_off_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -90,9 +91,15 @@
 
 // cuttableFleet starts six nodes and targets in three halls.
 func cuttableFleet(t *testing.T) (*fleet, []*targetCut) {
+	t.Helper()
+	return cuttableFleetOf(t, 6)
+}
+
+// cuttableFleetOf starts nodes, and six targets in three halls.
+func cuttableFleetOf(t *testing.T, nodes int) (*fleet, []*targetCut) {
 	t.Helper()
 	var cuts []*targetCut
-	f := startFleet(t, 6, &fleet{
+	f := startFleet(t, nodes, &fleet{
 		via: func(store string) string { return store },
 		dialTarget: func(int) func(ctx context.Context, network, address string) (net.Conn, error) {
 			c := &targetCut{conns: map[*cutConn]bool{}}
@@ -101,26 +108,37 @@
 		},
 	})
 	for i := range 6 {
-		x, err := standin.NewTarget(f.store, fmt.Sprint("t", i), "desk", fmt.Sprint("h", i%3), 3, 40*time.Millisecond)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(x.Close)
+		f.targetInHall(fmt.Sprint("t", i), "desk", fmt.Sprint("h", i%3))
 	}
 	f.calm(1)
 	f.ready(1, 6)
 	return f, cuts
 }
 
+// targetInHall starts a target that takes 40 ms for a request.
+func (f *fleet) targetInHall(id, service, hall string) {
+	f.t.Helper()
+	x, err := standin.NewTarget(f.store, id, service, hall, 3, 40*time.Millisecond)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(x.Close)
+}
+
 // callEach has each node get run-once and repeatable requests in turn until stop is called, which returns the replies.
 func (f *fleet) callEach(perSecond int) (stop func() map[*testNode][]reply) {
+	return f.callEachOf(f.nodes, perSecond)
+}
+
+// callEachOf does the same with some of the nodes.
+func (f *fleet) callEachOf(nodes []*testNode, perSecond int) (stop func() map[*testNode][]reply) {
 	var (
 		mu      sync.Mutex
 		replies = map[*testNode][]reply{}
 		calls   sync.WaitGroup
 	)
 	end := make(chan struct{})
-	for _, n := range f.nodes {
+	for _, n := range nodes {
 		calls.Go(func() {
 			ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 			defer ticker.Stop()
@@ -202,6 +220,61 @@
 	}
 }
 
+// TestFewCallersOfNodesCutFromAllTargetsAreServed guards against nodes that get a request now and then, which carry nothing
+// and hear little of what the others reach, and refuse it.
+func TestFewCallersOfNodesCutFromAllTargetsAreServed(t *testing.T) {
+	t.Parallel()
+	f, cuts := cuttableFleetOf(t, 18)
+	named := map[string]bool{} // where callers go
+	for _, hall := range []string{"h0", "h1", "h2"} {
+		for _, address := range f.resolve(f.nodes[0], hall) {
+			named[address] = true
+		}
+	}
+	var busy, quiet []*testNode
+	for _, n := range f.nodes {
+		switch {
+		case named[n.callers]:
+			busy = append(busy, n)
+		case n.hall != "h2":
+			quiet = append(quiet, n)
+		}
+	}
+	stop := f.callEachOf(busy, 10)
+	defer stop()
+	time.Sleep(time.Second)
+	for i, n := range f.nodes {
+		if n.hall != "h2" {
+			cuts[i].set(cutHang)
+		}
+	}
+	time.Sleep(cutContact)
+	var (
+		mu          sync.Mutex
+		served, all int
+		calls       sync.WaitGroup
+	)
+	for _, n := range quiet {
+		calls.Go(func() {
+			for i := range 2 {
+				r := f.callWithin(n, http.MethodPost, []string{"/once/x", "/get/x"}[i], fmt.Sprintf("few-%s-%d", n.name, i), "body", 1000)
+				mu.Lock()
+				all++
+				if r.status == http.StatusOK {
+					served++
+				}
+				mu.Unlock()
+				time.Sleep(time.Second)
+			}
+		})
+	}
+	calls.Wait()
+	t.Logf("%d of %d served", served, all)
+	is := is.New(t)
+	is.True(all > 0)
+	is.True(3*served >= 2*all)
+}
+
 // TestCallersAreSentToNodesThatReachTargets guards against look-ups that lead callers to nodes which are cut from all
 // targets, and against nodes that never get callers again once they are not.
 func TestCallersAreSentToNodesThatReachTargets(t *testing.T) {
@@ -236,6 +309,29 @@
 	f.eventually("callers are sent to the nodes again", func() bool { return named() > 0 })
 }
 
+// TestNodeStaysCutOffAsItGetsOtherRequests guards against a node that says that it reaches targets again as it gets a
+// request for another service, which it has not tried yet: callers then come back to it.
+func TestNodeStaysCutOffAsItGetsOtherRequests(t *testing.T) {
+	t.Parallel()
+	f, cuts := cuttableFleet(t)
+	f.targetInHall("clerk-1", "clerk", "h2")
+	f.store.Configure(2, []string{"desk", "clerk"}, route("/get/", standin.Repeatable, "desk"), route("/once/", standin.RunOnce, "desk"), route("/clerk/", standin.Repeatable, "clerk"))
+	f.ready(2, 7)
+	stop := f.callEach(10)
+	defer stop()
+	time.Sleep(time.Second)
+	cut := f.nodes[0]
+	cuts[0].set(cutHang)
+	named := func() bool { return slices.Contains(f.resolve(f.nodes[2], "h0"), cut.callers) }
+	f.eventually("callers are sent elsewhere", func() bool { return !named() })
+	is := is.New(t)
+	for i := range 20 {
+		go f.callWithin(cut, http.MethodGet, "/clerk/x", fmt.Sprint("other-", i), "", 1000)
+		time.Sleep(100 * time.Millisecond)
+		is.True(!named())
+	}
+}
+
 // TestNodesAllCutFromAllTargetsRefuseAtOnce guards against requests that are handed from node to node, or wait until
 // their deadline, while no node reaches a target.
 func TestNodesAllCutFromAllTargetsRefuseAtOnce(t *testing.T) {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -116,6 +116,9 @@
 	x.service.pool.RetryBudget().AddRequest()
 	ctx, cancel := x.context()
 	defer cancel()
+	if x.node.reach.cutOff.Load() && x.passToReaching(pool.ErrCutOff, t) {
+		return
+	}
 	for {
 		l, err := x.acquire()
 		if err != nil {
@@ -128,6 +131,9 @@
 			return
 		}
 		a, err := x.race(ctx, l)
+		if errors.Is(err, forward.ErrNoConnection) && x.service.pool.SuspectsCutOff() && x.passToReaching(pool.ErrCutOff, t) {
+			return
+		}
 		if x.finish(a, err, t) {
 			return
 		}
--- a/pool/cut_off_test.go
+++ b/pool/cut_off_test.go
@@ -68,6 +68,20 @@
 	is.True(!n.CutOff())
 }
 
+// TestNodeThatHearsNothingSuspectsThatItIsCutOff guards against a node that refuses requests since it does not know that
+// targets, which accept no connection from it, respond to others.
+func TestNodeThatHearsNothingSuspectsThatItIsCutOff(t *testing.T) {
+	is := is.New(t)
+	n := newSingleNode(t, 10, 3)
+	failToConnect(t, n, 2)
+	is.True(!n.SuspectsCutOff())
+	failToConnect(t, n, 1)
+	is.True(n.SuspectsCutOff())
+	is.True(!n.CutOff())
+	n.mustAcquire(t, n.request(false)).Done(pool.Good, false)
+	is.True(!n.SuspectsCutOff())
+}
+
 // TestFewUnreachableTargetsCutNobodyOff guards against a node that takes itself to be cut off though targets respond to it.
 func TestFewUnreachableTargetsCutNobodyOff(t *testing.T) {
 	is := is.New(t)
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -102,7 +102,7 @@
 // noTargetError returns why no target may take the request, now or after a wait.
 func (p *Pool) noTargetError(a *Request) error {
 	now := p.clock.Now()
-	if p.reach.cutOff || p.reachableByPeers(a, now) {
+	if p.reach.cutOff || p.suspectsCutOff(now) || p.reachableByPeers(a, now) {
 		return ErrCutOff
 	}
 	if rate, limited := p.limitedRate(a, now); limited {
--- a/pool/reach.go
+++ b/pool/reach.go
@@ -8,8 +8,8 @@
 	"github.com/tinladder/tinladder/ident"
 )
 
-// ErrCutOff means that this node cannot connect to targets that other nodes have responses from.
-var ErrCutOff = errors.New("this node reaches no target, though others do")
+// ErrCutOff means that this node connects to no target, and another one may. It is an ErrNoTarget.
+var ErrCutOff = errors.Mark(errors.New("this node reaches no target"), ErrNoTarget)
 
 // The load pattern: a node loses its network paths to all targets, while callers and the other nodes reach it. Requests
 // on open connections hang, new connections fail one by one. The targets look down from here, and are not: another node
@@ -102,6 +102,37 @@
 	return true
 }
 
+// suspectsCutOff reports whether this node reaches no target, as far as it has tried: it may not know that others do, since
+// nodes that have few requests for a service hear little of its targets.
+func (p *Pool) suspectsCutOff(now clock.Millis) bool {
+	candidates, failing := 0, 0
+	for _, t := range p.order {
+		if !t.mayWork() {
+			continue
+		}
+		candidates++
+		if at, found := p.reach.failing[t.ID]; found && now-at <= cutOffWindow {
+			failing++
+		}
+	}
+	return failing > 0 && failing >= min(cutOffTargets, candidates) && now-p.reach.respondedAt >= cutOffSilence
+}
+
+// SuspectsCutOff reports whether a request that this node could not connect to a target for may have better chances at
+// another node: this one is cut off, or reaches no target as far as it has tried.
+func (p *Pool) SuspectsCutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reach.cutOff || p.suspectsCutOff(p.clock.Now())
+}
+
+// RespondedAt returns when a target last responded to this node; 0 if none did.
+func (p *Pool) RespondedAt() clock.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reach.respondedAt
+}
+
 // CutOff reports whether this node reaches no target of the service, though others do.
 func (p *Pool) CutOff() bool {
 	p.mu.Lock()
