--- a/pool/cut_off_test.go
+++ b/pool/cut_off_test.go
@@ -108,3 +108,18 @@
 	n.Wake()
 	is.True(n.CutOff())
 }
+
+// TestNoTargetIsNotCutOff guards against requests that are passed to another node though this one reaches its targets: they
+// turned the request away, or are none.
+func TestNoTargetIsNotCutOff(t *testing.T) {
+	is := is.New(t)
+	is.True(errors.Is(pool.ErrCutOff, pool.ErrNoTarget))
+	is.True(!errors.Is(pool.ErrNoTarget, pool.ErrCutOff))
+	n := newSingleNode(t, 1, 3)
+	request := n.request(false)
+	l := n.mustAcquire(t, request)
+	l.Done(pool.Shed, false)
+	request.Exclude = append(request.Exclude, l.Target)
+	_, err := n.Acquire(t.Context(), request)
+	is.True(errors.Is(err, pool.ErrNoTarget) && !errors.Is(err, pool.ErrCutOff))
+}
--- a/pool/reach.go
+++ b/pool/reach.go
@@ -9,7 +9,7 @@
 )
 
 // ErrCutOff means that this node connects to no target, and another one may. It is an ErrNoTarget.
-var ErrCutOff = errors.Mark(errors.New("this node reaches no target"), ErrNoTarget)
+var ErrCutOff = errors.Wrap(ErrNoTarget, "this node reaches no target")
 
 // The load pattern: a node loses its network paths to all targets, while callers and the other nodes reach it. Requests
 // on open connections hang, new connections fail one by one. The targets look down from here, and are not: another node
