--- a/node/reach.go
+++ b/node/reach.go
@@ -30,9 +30,9 @@
 	passed atomic.Int64
 	// cutOff is whether the other nodes were told that this one reaches no targets.
 	cutOff atomic.Bool
-	// services is the number of services whose targets this node does not reach.
-	services atomic.Int64
-	// unreached is set while this node connects to none of the targets that it checks, of any service.
+	// cutServices is the number of services whose targets this node does not reach.
+	cutServices atomic.Int64
+	// unreached is set while this node does not connect to most of the targets that it checks, of any service.
 	unreached atomic.Bool
 	// checkedAt is when it last checked; used by tick only. checking is set meanwhile.
 	checkedAt clock.Millis
@@ -63,7 +63,7 @@
 
 // isCutOff reports whether this node does not reach the targets of some service.
 func (r *reach) isCutOff() bool {
-	return r.unreached.Load() || r.services.Load() > 0
+	return r.unreached.Load() || r.cutServices.Load() > 0
 }
 
 // closeIdle closes the connections to a service's targets, which may hang.
@@ -83,7 +83,7 @@
 			r.probe(svc, now)
 		}
 	}
-	r.services.Store(int64(cut))
+	r.cutServices.Store(int64(cut))
 	r.check(now)
 	cutOff := r.unreached.Load() || cut > 0 && now-r.respondedAt() >= checkSilence
 	if r.cutOff.Swap(cutOff) == cutOff {
