Each node logs its use of the retry budget, by service

The metrics count retries of a process over all services, and budget_left is logged for failed requests alone: neither tells whether an excess comes from processes that started within the window, from load that moved, or from shares of the slack that did. Now event=retry_budget has requests, retries, slack, whether the node has a carrier's share, and for how long it has run; at most one line a service in 2 s, while retries are made or denied.

--- a/node/retries.go
+++ b/node/retries.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"fmt"
 	"sync"
 
+	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/pool"
 )
@@ -31,9 +33,44 @@
 	svc.mu.Lock()
 	v.SharerCount, v.IsSharer = svc.sharers.Observe(nodeNames(carriers), n.isAmong(carriers) && v.HasQuorum(), first, n.clock.Now())
 	svc.mu.Unlock()
+	svc.holdsShare.Store(v.IsSharer)
 	return r.Slack * pool.SlackShare(v)
 }
 
+// budgetLogInterval is the minimum time between two lines on the retry budget of a service, which are logged while attempts
+// are retried or denied.
+const budgetLogInterval = 2 * clock.Second
+
+// A budgetLog is what was last logged of a service's retry budget.
+type budgetLog struct {
+	at    clock.Millis
+	stats pool.BudgetStats
+}
+
+// changed reports whether a line is due.
+func (l *budgetLog) changed(s pool.BudgetStats, now clock.Millis) bool {
+	if now-l.at < budgetLogInterval || s.Made == l.stats.Made && s.Denied == l.stats.Denied {
+		return false
+	}
+	l.at, l.stats = now, s
+	return true
+}
+
+// logRetryBudgets logs how much of the retry budget this node has used, and the slack that it has a share of.
+func (s *services) logRetryBudgets() {
+	now := s.node.clock.Now()
+	for _, svc := range s.all() {
+		b := svc.pool.RetryBudget().Stats()
+		if !svc.budgetLog.changed(b, now) {
+			continue
+		}
+		s.node.log.WithFields(logrus.Fields{
+			"event": "retry_budget", "service": svc.name, "requests": b.Requests, "retries": b.Retries, "denied_total": b.Denied, "made_total": b.Made,
+			"slack": fmt.Sprintf("%.2f", b.Slack), "sharer": svc.holdsShare.Load(), "running_ms": now - s.node.duty.startedAt,
+		}).Info()
+	}
+}
+
 // limitPeakNodesWindow is the same period for limits. It is longer, since a network partition may last for minutes.
 const limitPeakNodesWindow = 5 * clock.Minute
 
--- a/node/services.go
+++ b/node/services.go
@@ -49,6 +49,10 @@
 	carriers map[ident.Process]bool
 	// sharers are the nodes that carried the service recently.
 	sharers *assign.Sharers
+	// holdsShare reports whether this node has a carrier's share of the retry slack.
+	holdsShare atomic.Bool
+	// budgetLog is used by tick only.
+	budgetLog budgetLog
 	// idleCheckedAt is the time of the last search for targets without work; used by tick only.
 	idleCheckedAt clock.Millis
 	// lastRequestAt is the time of the last request for the service, in milliseconds.
@@ -496,6 +500,7 @@
 	}
 	s.reportLoads()
 	s.logSummaries()
+	s.logRetryBudgets()
 	s.logIdleTargets()
 	s.wake()
 	s.distributeSlack()
--- a/pool/budget.go
+++ b/pool/budget.go
@@ -19,6 +19,8 @@
 	window   clock.Millis
 	requests []clock.Millis
 	retries  []clock.Millis
+	// made and denied count since the start.
+	made, denied uint64
 }
 
 // NewRetryBudget returns a budget that allows ratio further attempts per request, plus slack, within any window.
@@ -58,12 +60,33 @@
 	b.requests = dropUntil(b.requests, now-b.window)
 	b.retries = dropUntil(b.retries, now-b.window)
 	if float64(len(b.retries)+1) > b.ratio*float64(len(b.requests))+b.slack {
+		b.denied++
 		return false
 	}
 	b.retries = append(b.retries, now)
+	b.made++
 	return true
 }
 
+// BudgetStats describes a retry budget at one moment.
+type BudgetStats struct {
+	// Requests and Retries are those of the last window, Slack what is allowed beyond the ratio.
+	Requests, Retries int
+	Slack             float64
+	// Made and Denied count the further attempts that were allowed and denied since the start.
+	Made, Denied uint64
+}
+
+// Stats returns the budget's state.
+func (b *RetryBudget) Stats() BudgetStats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	b.requests = dropUntil(b.requests, now-b.window)
+	b.retries = dropUntil(b.retries, now-b.window)
+	return BudgetStats{Requests: len(b.requests), Retries: len(b.retries), Slack: b.slack, Made: b.made, Denied: b.denied}
+}
+
 // Remaining returns how many further attempts the budget allows now.
 func (b *RetryBudget) Remaining() float64 {
 	b.mu.Lock()
