--- a/forward/header.go
+++ b/forward/header.go
@@ -20,7 +20,7 @@
 	Key string
 	// NotRun is set on responses of targets that did not run the request.
 	NotRun string
-	// Leaving is set on responses of targets that are shutting down.
+	// Leaving is set on responses of targets that are shutting down; 0 says that the target is not.
 	Leaving string
 	// RateLimit is set on responses of targets that limit the rate of requests from all nodes together.
 	RateLimit string
@@ -36,6 +36,15 @@
 	SetForwarded bool
 }
 
+// SaysLeaving reports whether a response's header says that the target is shutting down.
+func (n Headers) SaysLeaving(h http.Header) bool {
+	if n.Leaving == "" {
+		return false
+	}
+	word := strings.TrimSpace(h.Get(n.Leaving))
+	return word != "" && word != "0"
+}
+
 // Load is the load that a target reports: the requests that it is running, those queued, and the
 // number that it can run at a time.
 type Load struct {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -221,6 +221,9 @@
 		x.node.suspects.recordSuccess(x)
 	}
 	x.recordRateLimit(t.lease, a)
+	if a != nil && x.headers.SaysLeaving(a.Header) {
+		t.lease.SetLeaving()
+	}
 	t.lease.Done(e.outcome, a != nil && x.targetClosing(a))
 	if e.outcome == pool.Late || e.outcome == pool.ConnectionLost {
 		// The target's other connections may be dead too. Closing them loses one request in all, rather than one on each.
@@ -231,6 +234,9 @@
 	if t.lease.Limited {
 		x.node.metrics.limitedAttempt(t.lease.Reason)
 	}
+	if t.lease.ToldLeaving {
+		x.node.metrics.leavingAttempt(t.lease.Reason)
+	}
 	if e.outcome != pool.Good {
 		x.logAttempt(t, e, took)
 	}
@@ -260,7 +266,7 @@
 
 // targetClosing reports whether the response announces that the target is closing its connections.
 func (x *exchange) targetClosing(a *forward.Response) bool {
-	return a.Closing || x.headers.Leaving != "" && a.Header.Get(x.headers.Leaving) != ""
+	return a.Closing || x.headers.Leaving == HeaderLeaving && x.headers.SaysLeaving(a.Header)
 }
 
 // notRun reports whether the target declares that it did not run the request.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -170,6 +170,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_limited_attempts_total{why=%q}`, why)).Inc()
 }
 
+// leavingAttempt counts an attempt at a target that had said that it is leaving, by why the target was chosen.
+func (m *nodeMetrics) leavingAttempt(why pool.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_leaving_attempts_total{why=%q}`, why)).Inc()
+}
+
 func (m *nodeMetrics) belief(k pool.EventKind) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_beliefs_total{event=%q}`, k)).Inc()
 }
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -26,7 +26,11 @@
 	InFlight, Slots int
 	// Limited says that the target was known to limit its rate of requests.
 	Limited bool
-	start   clock.Millis
+	// ToldLeaving says that a response of the target had said that it is leaving.
+	ToldLeaving bool
+	start       clock.Millis
+	// saysLeaving says that the response does, for the target.
+	saysLeaving bool
 	// stated is what the response says of the target's rate limit; nil if that is not known.
 	stated          *statedLimit
 	hall            ident.Hall
@@ -40,7 +44,7 @@
 	m := &p.tuning.Model
 	l := &Lease{
 		pool: p, target: t, Target: t.ID, Address: t.Address, Reason: c.reason, start: now, hall: t.Hall, otherHall: !t.SameHall,
-		Limited: t.limit.named, Failing: t.belief.FailingProb(m, now), KnownAge: clock.Millis(age(t.evidenceAt, now)),
+		Limited: t.limit.named, ToldLeaving: t.saidLeaving, Failing: t.belief.FailingProb(m, now), KnownAge: clock.Millis(age(t.evidenceAt, now)),
 	}
 	if c.runnerUp != nil {
 		l.RunnerUp, l.RunnerUpFailing = c.runnerUp.ID, c.runnerUp.belief.FailingProb(m, now)
@@ -96,6 +100,7 @@
 	l.target.localInFlight--
 	l.target.markLoadChanged()
 	urgent := p.recordOutcome(l, o, closing)
+	p.recordWordOfLeaving(l)
 	urgent = p.applyStatedLimit(l, o, p.clock.Now()) || urgent
 	l.target.farReportPending = l.target.farReportPending || urgent
 	grants := p.grantWaiting()
