A target that says in an answer that it leaves gets no more requests

What callers saw: requests to a target that had said it was leaving, up to 6.9 s later, while the store was away; they would be lost as it ends.

Cause: the platform's header was not read (targets counted as leaving by their record, or after three closing answers in a row); evidence: attempts at such targets go on, chosen in the ordinary way. Behind it: what a target said went with its pool, 5 s after the last request at a node that does not carry the service. Ruled out: requests that waited (4 ms in the record).

--- a/node/answer.go
+++ b/node/answer.go
@@ -61,7 +61,8 @@
 
 func (x *exchange) writeHeader(a *forward.Response) {
 	forward.DropHopByHop(a.Header)
-	for _, name := range []string{HeaderOutcome, HeaderReplay, HeaderLeaving, HeaderRateLimit} {
+	saysLeaving := x.headers.SaysLeaving(a.Header)
+	for _, name := range []string{HeaderOutcome, HeaderReplay, HeaderLeaving, HeaderLeavingTarget, HeaderRateLimit} {
 		if x.w.Header().Get(name) == "" {
 			a.Header.Del(name)
 		}
@@ -70,6 +71,9 @@
 	for k, v := range a.Header {
 		h[k] = v
 	}
+	if saysLeaving && x.usedLease != nil && x.r.Header.Get(HeaderPassed) != "" {
+		h.Set(HeaderLeavingTarget, string(x.usedLease.Target))
+	}
 	h.Set(x.headers.RequestID, x.id)
 	x.node.leaving.setConnectionClose(x.w)
 	x.renewCallerDeadlines()
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -224,7 +224,7 @@
 	if a != nil && x.headers.SaysLeaving(a.Header) {
 		t.lease.SetLeaving()
 	}
-	t.lease.Done(e.outcome, a != nil && x.targetClosing(a))
+	t.lease.Done(e.outcome, a != nil && a.Closing)
 	if e.outcome == pool.Late || e.outcome == pool.ConnectionLost {
 		// The target's other connections may be dead too. Closing them loses one request in all, rather than one on each.
 		x.node.conns.CloseIdle(t.lease.Address)
@@ -264,11 +264,6 @@
 	}
 }
 
-// targetClosing reports whether the response announces that the target is closing its connections.
-func (x *exchange) targetClosing(a *forward.Response) bool {
-	return a.Closing || x.headers.Leaving == HeaderLeaving && x.headers.SaysLeaving(a.Header)
-}
-
 // notRun reports whether the target declares that it did not run the request.
 func (x *exchange) notRun(a *forward.Response) bool {
 	return x.headers.NotRun != "" && a.Header.Get(x.headers.NotRun) != "" ||
--- a/node/pass.go
+++ b/node/pass.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tinladder/tinladder/forward"
+	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/member"
 	"github.com/tinladder/tinladder/pool"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
@@ -77,10 +78,14 @@
 	return h
 }
 
-// keepOutcome keeps the headers of the other node's response that a target's response cannot have.
+// keepOutcome keeps what the other node's response says beyond a target's response: of the request, for the caller, and of
+// the target, for this node.
 func (x *exchange) keepOutcome(a *forward.Response) {
 	x.w.Header()[HeaderOutcome] = a.Header[HeaderOutcome]
 	x.w.Header()[HeaderReplay] = a.Header[HeaderReplay]
+	if id := a.Header.Get(HeaderLeavingTarget); id != "" {
+		x.service.pool.RecordLeaving(ident.Target(id))
+	}
 }
 
 // passToReaching forwards a request that no target ran to a node that reaches targets, if the error is that this one does
--- a/node/protocol.go
+++ b/node/protocol.go
@@ -47,6 +47,9 @@
 	// HeaderRateLimit is on responses of targets that limit their requests: the requests a second, as a decimal number, that
 	// they take from all nodes together. It is not forwarded.
 	HeaderRateLimit = "Tinladder-Rate-Limit"
+	// HeaderLeavingTarget is on responses to other nodes' requests, and names the target that responded and said that it is
+	// leaving.
+	HeaderLeavingTarget = "Tinladder-Leaving-Target"
 	// HeaderNotRun is on responses of targets that did not run the request.
 	HeaderNotRun = "Tinladder-Not-Run"
 	// HeaderPassed is on requests between nodes only.
--- a/node/target_leaving_test.go
+++ b/node/target_leaving_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/node"
 	"github.com/tinladder/tinladder/platform/standin"
 )
 
@@ -61,3 +63,28 @@
 		})
 	}
 }
+
+// TestPassedResponseSaysThatItsTargetLeaves guards against a node that passes requests to another one, and does not learn
+// that the target which responded there is leaving. Callers do not see how it learns that.
+func TestPassedResponseSaysThatItsTargetLeaves(t *testing.T) {
+	f, cuts := cuttableFleetOf(t, 2)
+	leaving, err := standin.NewTarget(f.store, "leaving", "desk", "h1", 3, 5*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(leaving.Close)
+	f.eventually("the target is known", func() bool { return f.poolTargets(f.nodes[0]) == 7 && f.poolTargets(f.nodes[1]) == 7 })
+	cuts[0].set(cutReset)
+	stop := f.callEach(10)
+	f.eventually("the node is cut off", func() bool { return strings.Contains(f.nodes[0].log.String(), "targets_cut_off") })
+	leaving.SayLeaving()
+	f.eventually("the node knows that the target leaves", func() bool {
+		return strings.Contains(f.nodes[0].log.String(), "event=target_left")
+	})
+	is := is.New(t)
+	for _, replies := range stop() {
+		for _, r := range replies {
+			is.Equal(r.header.Get(node.HeaderLeavingTarget), "")
+		}
+	}
+}
--- a/pool/event.go
+++ b/pool/event.go
@@ -23,8 +23,6 @@
 	TargetLimited
 	// TargetUnlimited means that the target no longer limits its requests.
 	TargetUnlimited
-	// TargetSaysLeaving means that a response of the target said for the first time that it is leaving.
-	TargetSaysLeaving
 	// TargetsCutOff means that this node reaches no target of the service, though others do.
 	TargetsCutOff
 	// TargetsReached means that this node reaches the service's targets again.
@@ -33,7 +31,7 @@
 
 // String returns the kind's name in logs.
 func (k EventKind) String() string {
-	return [...]string{"target_avoided", "target_returned", "target_left", "target_unreachable", "target_limited", "target_unlimited", "target_says_leaving", "targets_cut_off", "targets_reached"}[k]
+	return [...]string{"target_avoided", "target_returned", "target_left", "target_unreachable", "target_limited", "target_unlimited", "targets_cut_off", "targets_reached"}[k]
 }
 
 // Event is one change in what is known of a target.
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -44,7 +44,7 @@
 	m := &p.tuning.Model
 	l := &Lease{
 		pool: p, target: t, Target: t.ID, Address: t.Address, Reason: c.reason, start: now, hall: t.Hall, otherHall: !t.SameHall,
-		Limited: t.limit.named, ToldLeaving: t.saidLeaving, Failing: t.belief.FailingProb(m, now), KnownAge: clock.Millis(age(t.evidenceAt, now)),
+		Limited: t.limit.named, ToldLeaving: t.announcedLeave, Failing: t.belief.FailingProb(m, now), KnownAge: clock.Millis(age(t.evidenceAt, now)),
 	}
 	if c.runnerUp != nil {
 		l.RunnerUp, l.RunnerUpFailing = c.runnerUp.ID, c.runnerUp.belief.FailingProb(m, now)
@@ -100,7 +100,7 @@
 	l.target.localInFlight--
 	l.target.markLoadChanged()
 	urgent := p.recordOutcome(l, o, closing)
-	p.recordWordOfLeaving(l)
+	urgent = p.applyWordOfLeaving(l, o) || urgent
 	urgent = p.applyStatedLimit(l, o, p.clock.Now()) || urgent
 	l.target.farReportPending = l.target.farReportPending || urgent
 	grants := p.grantWaiting()
@@ -191,30 +191,6 @@
 	return float64(now-l.start) * float64(l.Slots) / float64(max(l.InFlight, l.Slots))
 }
 
-// noteClosing counts consecutive responses that close their connection: a target that is leaving does so in all of
-// them, others occasionally.
-func (p *Pool) noteClosing(t *target, closing bool, now clock.Millis) bool {
-	if !closing {
-		t.closings = 0
-		return false
-	}
-	t.closings++
-	if t.closings >= closingsToLeave && !t.announcedLeave {
-		p.markLeaving(t, "", now)
-		return true
-	}
-	return false
-}
-
-// markLeaving records that the target itself announced that it is leaving.
-func (p *Pool) markLeaving(t *target, by ident.Node, now clock.Millis) {
-	if t.announcedLeave {
-		return
-	}
-	t.announcedLeave = true
-	p.addEvent(Event{Kind: TargetLeft, Target: t.ID, Failing: t.belief.FailingProb(&p.tuning.Model, now), By: by})
-}
-
 const (
 	// avoidAbove is the failing probability above which a target is avoided, returnBelow the one below which it is
 	// used normally again.
@@ -226,7 +202,4 @@
 	smoothing = 16
 	// maxBackoffFactor limits how much longer an unreachable target is passed over each time.
 	maxBackoffFactor = 4
-	// closingsToLeave is how many consecutive responses must close their connections for the target to count as
-	// leaving.
-	closingsToLeave = 3
 )
--- a/pool/leaving.go
+++ b/pool/leaving.go
@@ -1,16 +1,70 @@
 package pool
 
+import (
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/ident"
+)
+
+// closingsToLeave is how many consecutive responses must close their connections for the target to count as leaving.
+const closingsToLeave = 3
+
 // SetLeaving records that the response to the lease's request says that the target is leaving. Call it before Done.
 func (l *Lease) SetLeaving() {
 	l.saysLeaving = true
 }
 
-// recordWordOfLeaving records what the response to the lease's request says.
-func (p *Pool) recordWordOfLeaving(l *Lease) {
-	t := l.target
-	if !l.saysLeaving || t.saidLeaving {
+// applyWordOfLeaving applies what the response to the lease's request says, whatever its status, and reports whether other
+// nodes should know at once. At a target's address, another process may have responded.
+func (p *Pool) applyWordOfLeaving(l *Lease, o Outcome) (changed bool) {
+	t, now := p.sameLife(l.target), p.clock.Now()
+	if !l.saysLeaving || o == Replaced || t.announcedLeave {
+		return false
+	}
+	p.markLeaving(t, "", now)
+	t.farReportPending = true
+	if t.removed {
+		p.keepState(t, now)
+	}
+	return true
+}
+
+// RecordLeaving records that a response of the target, which came by way of another node, said that it is leaving.
+func (p *Pool) RecordLeaving(id ident.Target) {
+	p.mu.Lock()
+	t := p.targets[id]
+	changed := t != nil && !t.announcedLeave
+	if changed {
+		p.markLeaving(t, "", p.clock.Now())
+		t.farReportPending = true
+	}
+	events := p.takeEvents()
+	p.mu.Unlock()
+	p.emit(events)
+	if changed {
+		p.onChange(HealthEvidence, "")
+	}
+}
+
+// noteClosing counts consecutive responses that close their connection: a target that is leaving does so in all of
+// them, others occasionally.
+func (p *Pool) noteClosing(t *target, closing bool, now clock.Millis) bool {
+	if !closing {
+		t.closings = 0
+		return false
+	}
+	t.closings++
+	if t.closings >= closingsToLeave && !t.announcedLeave {
+		p.markLeaving(t, "", now)
+		return true
+	}
+	return false
+}
+
+// markLeaving records that the target itself announced that it is leaving.
+func (p *Pool) markLeaving(t *target, by ident.Node, now clock.Millis) {
+	if t.announcedLeave {
 		return
 	}
-	t.saidLeaving = true
-	p.addEvent(Event{Kind: TargetSaysLeaving, Target: t.ID, Failing: t.belief.FailingProb(&p.tuning.Model, p.clock.Now())})
+	t.announcedLeave = true
+	p.addEvent(Event{Kind: TargetLeft, Target: t.ID, Failing: t.belief.FailingProb(&p.tuning.Model, now), By: by})
 }
--- a/pool/leaving_test.go
+++ b/pool/leaving_test.go
@@ -26,3 +26,21 @@
 	n.SetTargets(later)
 	is.True(n.TryAcquire(n.request(false)) != nil)
 }
+
+// TestLateWordOfLeavingIsKept guards against a word of leaving that comes after the node dropped the service's targets, and
+// perhaps got them again.
+func TestLateWordOfLeavingIsKept(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		is := is.New(t)
+		n := newSingleNode(t, 1, 3)
+		l := n.mustAcquire(t, n.request(false))
+		l.SetLeaving()
+		n.SetTargets(nil)
+		if again {
+			n.SetTargets(targets(1, 3))
+		}
+		l.Done(pool.Failed, false)
+		n.SetTargets(targets(1, 3))
+		is.True(n.TryAcquire(n.request(false)) == nil)
+	}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -129,8 +129,6 @@
 	avoided, keptForFloor bool
 	// announcedLeave says that the target itself announced that it is leaving, or is replaced.
 	announcedLeave bool
-	// saidLeaving says that a response said so.
-	saidLeaving bool
 	// closings counts consecutive responses that close the connection.
 	closings int
 	addedAt  clock.Millis
@@ -203,8 +201,8 @@
 	timeoutBaseline timeoutBaseline
 	// limitShare is the share of targets' limits that this node and those in contact with it may use.
 	limitShare float64
-	// formerLimits are those of targets that the pool had a short time ago.
-	formerLimits map[ident.Target]formerLimit
+	// formerStates are the states that targets named which the pool no longer has.
+	formerStates map[ident.Target]namedState
 	reach        reach
 	events       []Event
 }
@@ -215,7 +213,7 @@
 		clock: c, rand: r, tuning: t, budget: b, onChange: onChange, onEvent: onEvent,
 		targets: map[ident.Target]*target{}, waiting: list.New(), serviceTime: float64(t.FirstServiceTime), failTime: float64(t.FirstServiceTime),
 		ended: newWindow(t.TroubleWindow), started: newWindow(t.TroubleWindow), peerTallies: map[ident.Process]peerTally{},
-		limitShare: 1, formerLimits: map[ident.Target]formerLimit{},
+		limitShare: 1, formerStates: map[ident.Target]namedState{},
 		reach: newReach(),
 	}
 }
@@ -240,7 +238,8 @@
 		t := p.targets[registered.ID]
 		restarted := t != nil && t.Life != registered.Life
 		if t == nil || restarted {
-			t = &target{belief: belief.New(&p.tuning.Model, now), peers: map[ident.Process]*peerView{}, addedAt: now, joined: len(p.targets) > 0, addedBeforeTraffic: !p.sawTraffic, limit: p.formerLimit(registered)}
+			t = &target{belief: belief.New(&p.tuning.Model, now), peers: map[ident.Process]*peerView{}, addedAt: now, joined: len(p.targets) > 0, addedBeforeTraffic: !p.sawTraffic}
+			t.restore(p.formerStates[registered.ID], registered.Life, now)
 		}
 		if restarted {
 			t.restartedAt = now
@@ -252,7 +251,7 @@
 	for id, t := range p.targets {
 		t.removed = byID[id] == nil
 	}
-	p.keepLimits(p.targets, now)
+	p.keepStates(p.targets, now)
 	p.targets = byID
 	p.applyFloor(now)
 	grants := p.grantWaiting()
--- a/pool/rate_limit.go
+++ b/pool/rate_limit.go
@@ -56,12 +56,6 @@
 	perSecond float64
 }
 
-// formerLimit is the limit of a target that the pool no longer has.
-type formerLimit struct {
-	rateLimit
-	life uint64
-}
-
 // SetRateLimit records what the response to the lease's request says of the target's rate limit: the requests a second
 // that it takes from all nodes together, or that it names none. Call it before Done; without it, what is known stays.
 func (l *Lease) SetRateLimit(named bool, perSecond float64) {
@@ -210,28 +204,6 @@
 	}
 }
 
-// keepLimits stores the limits of targets that the pool no longer has.
-func (p *Pool) keepLimits(dropped map[ident.Target]*target, now clock.Millis) {
-	for id, f := range p.formerLimits {
-		if now-f.statedAt > limitRetention {
-			delete(p.formerLimits, id)
-		}
-	}
-	for id, t := range dropped {
-		if t.removed && t.limit.named {
-			p.formerLimits[id] = formerLimit{rateLimit: t.limit, life: t.Life}
-		}
-	}
-}
-
-// formerLimit returns the limit that the target had when the pool last had it.
-func (p *Pool) formerLimit(registered Target) rateLimit {
-	if f, found := p.formerLimits[registered.ID]; found && f.life == registered.Life {
-		return f.rateLimit
-	}
-	return rateLimit{}
-}
-
 // limitedRate returns the rate at which those targets that limit their requests, and may take this one, take requests
 // from all nodes together.
 func (p *Pool) limitedRate(a *Request, now clock.Millis) (perSecond float64, limited bool) {
