--- a/node/exchange.go
+++ b/node/exchange.go
@@ -221,6 +221,7 @@
 		x.node.suspects.recordSuccess(x)
 	}
 	x.recordRateLimit(t.lease, a)
+	x.recordRest(t.lease, a)
 	if a != nil && x.headers.SaysLeaving(a.Header) {
 		t.lease.SetLeaving()
 	}
@@ -234,6 +235,9 @@
 	if t.lease.Limited {
 		x.node.metrics.limitedAttempt(t.lease.Reason)
 	}
+	if t.lease.Resting {
+		x.node.metrics.restingAttempt(t.lease.Reason)
+	}
 	if t.lease.ToldLeaving {
 		x.node.metrics.leavingAttempt(t.lease.Reason)
 	}
@@ -256,6 +260,20 @@
 	l.SetRateLimit(limit.Named, limit.PerSecond)
 }
 
+// recordRest records for how long the response says that its target wants nothing from this node. A malformed time leaves
+// what is known.
+func (x *exchange) recordRest(l *pool.Lease, a *forward.Response) {
+	if a == nil || a.Status != http.StatusServiceUnavailable {
+		return
+	}
+	rest, err := forward.ParseRest(a.Header)
+	if err != nil {
+		x.node.log.WithFields(logrus.Fields{"event": "bad_retry_after", "request": x.id, "service": x.service.name, "target": l.Target, "error": err}).Warn()
+		return
+	}
+	l.SetRest(rest)
+}
+
 // countAttempt records whether a target may have run the request in an attempt that has ended.
 func (x *exchange) countAttempt(e attemptEnd) {
 	x.lastShed = e.outcome == pool.Shed || e.outcome == pool.Replaced
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -170,6 +170,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_limited_attempts_total{why=%q}`, why)).Inc()
 }
 
+// restingAttempt counts an attempt at a target that had asked this node for a rest, by why the target was chosen.
+func (m *nodeMetrics) restingAttempt(why pool.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_resting_attempts_total{why=%q}`, why)).Inc()
+}
+
 // leavingAttempt counts an attempt at a target that had said that it is leaving, by why the target was chosen.
 func (m *nodeMetrics) leavingAttempt(why pool.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_leaving_attempts_total{why=%q}`, why)).Inc()
--- a/node/services.go
+++ b/node/services.go
@@ -625,6 +625,8 @@
 		case pool.TargetLimited:
 			f["per_second"] = e.PerSecond
 			s.assignSenders(svc)
+		case pool.TargetRests:
+			f["rest_ms"] = e.Rest
 		case pool.TargetUnlimited, pool.TargetsReached:
 		case pool.TargetsCutOff:
 			s.node.reach.closeIdle(svc)
--- a/pool/event.go
+++ b/pool/event.go
@@ -23,6 +23,8 @@
 	TargetLimited
 	// TargetUnlimited means that the target no longer limits its requests.
 	TargetUnlimited
+	// TargetRests means that the target has asked this node for a rest.
+	TargetRests
 	// TargetsCutOff means that this node reaches no target of the service, though others do.
 	TargetsCutOff
 	// TargetsReached means that this node reaches the service's targets again.
@@ -31,7 +33,7 @@
 
 // String returns the kind's name in logs.
 func (k EventKind) String() string {
-	return [...]string{"target_avoided", "target_returned", "target_left", "target_unreachable", "target_limited", "target_unlimited", "targets_cut_off", "targets_reached"}[k]
+	return [...]string{"target_avoided", "target_returned", "target_left", "target_unreachable", "target_limited", "target_unlimited", "target_rests", "targets_cut_off", "targets_reached"}[k]
 }
 
 // Event is one change in what is known of a target.
@@ -42,6 +44,8 @@
 	Failing float64
 	// PerSecond is the rate that the target named, for TargetLimited.
 	PerSecond float64
+	// Rest is the time that the target asked for, for TargetRests.
+	Rest clock.Millis
 	// By names the node that reported the change; it is empty if this node observed it.
 	By ident.Node
 }
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -28,7 +28,11 @@
 	Limited bool
 	// ToldLeaving says that a response of the target had said that it is leaving.
 	ToldLeaving bool
-	start       clock.Millis
+	// Resting says that the target had asked this node for a rest that was not over.
+	Resting bool
+	start   clock.Millis
+	// rest is how long the target wants nothing from this node, as the response says.
+	rest clock.Millis
 	// saysLeaving says that the response does, for the target.
 	saysLeaving bool
 	// stated is what the response says of the target's rate limit; nil if that is not known.
@@ -44,7 +48,7 @@
 	m := &p.tuning.Model
 	l := &Lease{
 		pool: p, target: t, Target: t.ID, Address: t.Address, Reason: c.reason, start: now, hall: t.Hall, otherHall: !t.SameHall,
-		Limited: t.limit.named, ToldLeaving: t.announcedLeave, Failing: t.belief.FailingProb(m, now), KnownAge: clock.Millis(age(t.evidenceAt, now)),
+		Limited: t.limit.named, ToldLeaving: t.announcedLeave, Resting: t.resting(now), Failing: t.belief.FailingProb(m, now), KnownAge: clock.Millis(age(t.evidenceAt, now)),
 	}
 	if c.runnerUp != nil {
 		l.RunnerUp, l.RunnerUpFailing = c.runnerUp.ID, c.runnerUp.belief.FailingProb(m, now)
@@ -101,6 +105,7 @@
 	l.target.markLoadChanged()
 	urgent := p.recordOutcome(l, o, closing)
 	urgent = p.applyWordOfLeaving(l, o) || urgent
+	p.applyRest(l, o)
 	urgent = p.applyStatedLimit(l, o, p.clock.Now()) || urgent
 	l.target.farReportPending = l.target.farReportPending || urgent
 	grants := p.grantWaiting()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -129,6 +129,8 @@
 	avoided, keptForFloor bool
 	// announcedLeave says that the target itself announced that it is leaving, or is replaced.
 	announcedLeave bool
+	// Until restUntil the target wants nothing from this node.
+	restUntil clock.Millis
 	// closings counts consecutive responses that close the connection.
 	closings int
 	addedAt  clock.Millis
