A target that asks a node for a rest gets none of its requests meanwhile

Evidence: attempts while the target rests, most of them the ordinary choice, later ones trials.

A rest holds the target back from every choice of this node until the latest time that was asked for, in the same life. With all targets at rest, requests are refused at once and told when the first is back, spread by up to half.

--- a/pool/named_state.go
+++ b/pool/named_state.go
@@ -12,6 +12,8 @@
 	droppedAt clock.Millis
 	limit     rateLimit
 	leaving   bool
+	// restUntil is when the target's rest from this node ends.
+	restUntil clock.Millis
 }
 
 // leavingRetention is how long the pool remembers that a target which it no longer has is leaving: longer than targets
@@ -19,7 +21,7 @@
 const leavingRetention = 10 * clock.Minute
 
 func (t *target) namedState(now clock.Millis) namedState {
-	return namedState{life: t.Life, droppedAt: now, limit: t.limit, leaving: t.announcedLeave}
+	return namedState{life: t.Life, droppedAt: now, limit: t.limit, leaving: t.announcedLeave, restUntil: t.restUntil}
 }
 
 // at returns what still holds of the state.
@@ -28,12 +30,15 @@
 		s.limit = rateLimit{}
 	}
 	s.leaving = s.leaving && now-s.droppedAt <= leavingRetention
+	if s.restUntil <= now {
+		s.restUntil = 0
+	}
 	return s
 }
 
 // empty reports whether the state says nothing.
 func (s namedState) empty() bool {
-	return !s.limit.named && !s.leaving
+	return !s.limit.named && !s.leaving && s.restUntil == 0
 }
 
 // keepStates stores the states of targets that the pool no longer has.
@@ -60,7 +65,7 @@
 func (t *target) restore(s namedState, life uint64, now clock.Millis) {
 	if s.life == life {
 		s = s.at(now)
-		t.limit, t.announcedLeave = s.limit, s.leaving
+		t.limit, t.announcedLeave, t.restUntil = s.limit, s.leaving, s.restUntil
 	}
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -205,8 +205,10 @@
 	limitShare float64
 	// formerStates are the states that targets named which the pool no longer has.
 	formerStates map[ident.Target]namedState
-	reach        reach
-	events       []Event
+	// wokeAt is when Wake was last called.
+	wokeAt clock.Millis
+	reach  reach
+	events []Event
 }
 
 // New returns a pool without targets.
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -105,6 +105,9 @@
 	if p.reach.cutOff || p.suspectsCutOff(now) || p.reachableByPeers(a, now) {
 		return ErrCutOff
 	}
+	if rest, resting := p.shortestRest(a, now); resting {
+		return &BusyError{RetryAfter: p.spreadRest(rest), Reason: "the targets have asked for a rest"}
+	}
 	if rate, limited := p.limitedRate(a, now); limited {
 		return p.limitedError(rate, now)
 	}
--- a/pool/rest.go
+++ b/pool/rest.go
@@ -21,9 +21,27 @@
 		p.addEvent(Event{Kind: TargetRests, Target: t.ID, Rest: l.rest})
 	}
 	t.restUntil = now + l.rest
+	if t.removed {
+		p.keepState(t, now)
+	}
 }
 
 // resting reports whether the target wants nothing from this node now.
 func (t *target) resting(now clock.Millis) bool {
 	return now < t.restUntil
 }
+
+// shortestRest returns the time until the first target is back that may take the request and rests now.
+func (p *Pool) shortestRest(a *Request, now clock.Millis) (shortest clock.Millis, resting bool) {
+	for _, t := range p.order {
+		if rest := t.restUntil - now; rest > 0 && p.mayTake(t, a) && (!resting || rest < shortest) {
+			shortest, resting = rest, true
+		}
+	}
+	return shortest, resting
+}
+
+// spreadRest varies the time until a target is back at random, and never shortens it.
+func (p *Pool) spreadRest(rest clock.Millis) clock.Millis {
+	return max(clock.Millis(float64(rest)*(1+retrySpread*p.rand.Float64())), minRetryAfter)
+}
--- a/pool/status.go
+++ b/pool/status.go
@@ -15,13 +15,15 @@
 	Blocked
 	// Leaving targets take no new work.
 	Leaving
+	// Resting targets have asked this node for a time without requests.
+	Resting
 	// Closed targets get nothing from this node: their hall is evacuated, or another node sends to them while they warm up.
 	Closed
 )
 
 // String returns the condition's name in reports.
 func (c Condition) String() string {
-	return [...]string{"in-use", "avoided", "unreachable", "leaving", "closed"}[c]
+	return [...]string{"in-use", "avoided", "unreachable", "leaving", "resting", "closed"}[c]
 }
 
 // Status is the state of one target on this node.
@@ -44,6 +46,8 @@
 		switch {
 		case t.Leaving || t.announcedLeave:
 			s.Condition = Leaving
+		case t.resting(now):
+			s.Condition = Resting
 		case p.closed(t, now):
 			s.Condition = Closed
 		case now < t.blockedUntil:
--- a/pool/throttled.go
+++ b/pool/throttled.go
@@ -49,9 +49,10 @@
 	return now < t.WarmupUntil
 }
 
-// closed reports whether the target may get nothing from this node, however long a request waits.
+// closed reports whether the target may get nothing from this node, however long a request waits. Requests do not wait for
+// the end of a rest, which takes seconds.
 func (p *Pool) closed(t *target, now clock.Millis) bool {
-	return t.Evacuated || t.warmingUp(now) && t.WarmupRate <= 0 || p.limitCloses(t, now)
+	return t.Evacuated || t.resting(now) || t.warmingUp(now) && t.WarmupRate <= 0 || p.limitCloses(t, now)
 }
 
 // admits reports whether the target may get a request from this node now.
@@ -127,8 +128,8 @@
 // wakeInterval is the longest usual time between two calls of Wake.
 const wakeInterval clock.Millis = 100
 
-// Wake gives waiting requests to targets that take requests at a limited rate and may get one more by now. Call it
-// every wakeInterval.
+// Wake gives waiting requests to targets that take requests at a limited rate and may get one more by now, and to targets
+// whose rest has ended. Call it every wakeInterval.
 func (p *Pool) Wake() {
 	p.mu.Lock()
 	now := p.clock.Now()
@@ -137,9 +138,10 @@
 	ready := p.reach.cutOff // those that wait are refused
 	if p.waiting.Len() > 0 {
 		for _, t := range p.order {
-			ready = ready || t.isThrottled(now) && p.admits(t, now)
+			ready = ready || t.isThrottled(now) && p.admits(t, now) || t.restUntil > p.wokeAt && !t.resting(now)
 		}
 	}
+	p.wokeAt = now
 	var grants []grant
 	if ready {
 		grants = p.grantWaiting()
