--- a/soak/callers.go
+++ b/soak/callers.go
@@ -41,6 +41,8 @@
 	// status is 0 if no whole answer came; body and mark are of one that did.
 	status     int
 	body, mark string
+	// saysLeaving says that the answer has its target's word that it leaves.
+	saysLeaving bool
 	// space is the workspace that asks, and key what it shows.
 	space, key string
 	// stray says that it need not be served: its key may be gone, or its workspace over its limit.
@@ -205,6 +207,7 @@
 	}
 	c.used = true
 	s.status, s.body, s.mark = res.StatusCode, string(body), res.Header.Get(standin.Signature)
+	s.saysLeaving = platform.Headers().SaysLeaving(res.Header)
 	return !res.Close && !strings.EqualFold(res.Header.Get("Connection"), "close")
 }
 
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -101,6 +101,8 @@
 	o.checkKeys()
 	o.checkLimit()
 	o.checkTargetLimits()
+	o.checkWordOfLeaving()
+	o.checkRests()
 	o.checkFloor()
 	o.checkRank()
 	o.checkGone()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -70,6 +70,8 @@
 	{"service slow", slowService},
 	{"targets fail", failTargets},
 	{"targets name limits", limitTargets},
+	{"targets say they leave", sayLeaving},
+	{"targets ask for rest", askForRest},
 }
 
 // plannedWork is what operators do, stops above all.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -58,6 +58,8 @@
 	{"service slow", 4, 300},
 	{"targets fail", 24, 0},
 	{"targets name limits", 12, 0},
+	{"targets say they leave", 12, 0},
+	{"targets ask for rest", 12, 0},
 }
 
 // TestSoak runs a few seeds, shorter than by hand.
--- a/soak/world.go
+++ b/soak/world.go
@@ -179,6 +179,9 @@
 	hurt []span
 	// limits are the times at which it named limits.
 	limits []limitSpan
+	// saidLeavingAt is when its answers began to say that it leaves, rests are the times at which it asked for rests.
+	saidLeavingAt time.Time
+	rests         []restSpan
 }
 
 // hurting notes that a fault strikes the target until the returned function is called.
