A node learns that it sends to a limited target also while its log is limited

What callers saw: requests that a limited target had room for are refused, as no node counts as its sender; a target that names a limit goes without work.

Cause: the ranks of senders were computed in the branch that writes the log line, and lines on what peers report are limited to 16 a second; likewise the closing of idle connections as a node is cut off. Both are done first now, whatever is logged.

--- a/node/services.go
+++ b/node/services.go
@@ -614,22 +614,25 @@
 	return list
 }
 
-// recordEvent records a change in the belief about a target in the metrics, the log and the event report. Every node whose
-// belief changes records it, whoever reported the evidence: one report may move the nodes that receive it over the threshold,
-// but not its sender. Only nodes that carry or use a service receive reports of its targets.
+// recordEvent acts on a change in what is known of a target, and records it in the metrics, the log and the event report.
+// Every node whose belief changes records it, whoever reported the evidence: one report may move the nodes that receive it
+// over the threshold, but not its sender. Only nodes that carry or use a service receive reports of its targets.
 func (s *services) recordEvent(svc *service, e pool.Event) {
+	switch e.Kind {
+	case pool.TargetLimited:
+		s.assignSenders(svc)
+	case pool.TargetsCutOff:
+		s.node.reach.closeIdle(svc)
+	}
 	s.node.metrics.belief(e.Kind)
 	if e.By == "" || s.peerBeliefLines.Allow() {
 		f := logrus.Fields{"event": e.Kind, "service": svc.name, "target": e.Target, "by": e.By}
 		switch e.Kind {
 		case pool.TargetLimited:
 			f["per_second"] = e.PerSecond
-			s.assignSenders(svc)
 		case pool.TargetRests:
 			f["rest_ms"] = e.Rest
-		case pool.TargetUnlimited, pool.TargetsReached:
-		case pool.TargetsCutOff:
-			s.node.reach.closeIdle(svc)
+		case pool.TargetUnlimited, pool.TargetsCutOff, pool.TargetsReached:
 		default:
 			f["failing"] = fmt.Sprintf("%.2f", e.Failing)
 		}
--- a/node/target_limit_test.go
+++ b/node/target_limit_test.go
@@ -168,3 +168,55 @@
 	t.Logf("%d served, %d refused", served, refused)
 	is.True(served > 0)
 }
+
+// TestLimitIsUsedAsManyOthersChange guards against a node that does not learn that it is the one to send to a target with a
+// limit, since so many limits of other targets change that the log has no line left for this one.
+func TestLimitIsUsedAsManyOthersChange(t *testing.T) {
+	f := newFleet(t, 3)
+	var targets []*standin.Target
+	for i := range 12 {
+		targets = append(targets, f.limitedTarget(fmt.Sprint("t", i), "desk", fmt.Sprint("h", i%3), "50"))
+	}
+	f.limitedTarget("clerk-1", "clerk", "h0", "1")
+	f.store.Configure(1, []string{"desk", "clerk"}, route("/get/", standin.Repeatable, "desk"), route("/clerk/", standin.Repeatable, "clerk"))
+	f.ready(1, 1)
+	for _, n := range f.nodes {
+		f.eventually(n.name+" has the targets", func() bool { return f.poolTargets(n) == len(targets)+1 })
+	}
+	stop := f.callEachOf(f.nodes[1:], 150)
+	defer stop()
+	end := make(chan struct{})
+	defer close(end)
+	go func() {
+		for i := 0; ; i++ {
+			select {
+			case <-end:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+			for _, x := range targets {
+				x.SetRateLimit([]string{"50", "100"}[i%2])
+			}
+		}
+	}()
+	time.Sleep(6 * time.Second) // the nodes have settled, and compute no ranks for other reasons
+	is := is.New(t)
+	is.Equal(f.call(f.nodes[1], http.MethodGet, "/clerk/x", "first", "").status, http.StatusOK)
+	served := false
+	for end := time.Now().Add(3 * time.Second); !served && time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		served = f.call(f.nodes[0], http.MethodGet, "/clerk/x", fmt.Sprint("own-", time.Now().UnixNano()), "").status == http.StatusOK
+	}
+	is.True(served)
+}
+
+// limitedTarget starts a target that takes 10 ms for a request and names a limit.
+func (f *fleet) limitedTarget(id, service, hall, limit string) *standin.Target {
+	f.t.Helper()
+	x, err := standin.NewTarget(f.store, id, service, hall, 3, 10*time.Millisecond)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(x.Close)
+	x.SetRateLimit(limit)
+	return x
+}
