--- a/pool/budget.go
+++ b/pool/budget.go
@@ -58,7 +58,8 @@
 	maxDebt = 1
 )
 
-// NewRetryBudget returns a budget that allows ratio further attempts per request, plus slack, within any window.
+// NewRetryBudget returns a budget that allows ratio further attempts per request, plus slack, within any window. What is
+// less than one attempt is rounded at random.
 func NewRetryBudget(c clock.Clock, r *rand.Rand, ratio, slack float64, window clock.Millis) *RetryBudget {
 	b := &RetryBudget{clock: c, ratio: ratio, window: window, remainder: r.Float64()}
 	b.slack.add(slack, c.Now())
