An attempt that lost a race goes on for 25 ms, so that its target's answer is read

What callers saw: hedges that were turned away by a target which had asked this node for a rest, again and again; more than the two requests that it allows.

Cause: when one of two attempts responds, the other was canceled at once. A target that turns requests away has often responded in the same millisecond, and what it says of itself (a rest, its word of leaving, a limit) was not read, so that the next hedge went there too. Ruled out: requests that were under way (0.5 s are allowed for these).

The losing attempt is detached from its request for 25 ms. Only hedged requests, which have no stream, are concerned.

--- a/node/race.go
+++ b/node/race.go
@@ -14,6 +14,9 @@
 const (
 	// hedgeRetryInterval is how soon a hedge is tried again that found no free slot or too little budget.
 	hedgeRetryInterval clock.Millis = 40
+	// lostRaceGrace is how long an attempt goes on after another one has responded. Its target may have responded too, and
+	// what that says of the target holds: a target that turns requests away does so within this time.
+	lostRaceGrace clock.Millis = 25
 	// hedgeReserve is the number of retries in the budget that hedges leave for requests that fail.
 	hedgeReserve = 1
 )
@@ -109,28 +112,34 @@
 type parallelAttempts struct {
 	exchange *exchange
 	ends     chan attemptEnd
-	cancels  map[*pool.Lease]context.CancelCauseFunc
+	started  []startedAttempt
 	running  int
 }
 
+// A startedAttempt is an attempt that may go on for a short time after its request has ended.
+type startedAttempt struct {
+	lease  *pool.Lease
+	cancel context.CancelCauseFunc
+	// detach keeps the end of the request from canceling the attempt.
+	detach func() bool
+}
+
 // start makes one more attempt, in a goroutine of its own.
 func (r *parallelAttempts) start(ctx context.Context, l *pool.Lease) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	if r.cancels == nil {
-		r.cancels = map[*pool.Lease]context.CancelCauseFunc{}
-	}
-	r.cancels[l] = cancel
+	own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	detach := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
+	r.started = append(r.started, startedAttempt{lease: l, cancel: cancel, detach: detach})
 	r.running++
 	t := r.exchange.planAttempt(l)
-	go func() { r.ends <- r.exchange.attempt(ctx, t) }()
+	go func() { r.ends <- r.exchange.attempt(own, t) }()
 }
 
-// stop cancels all attempts but the one that is used. That one's context lives on until the request's ends, since its
-// response may not have been read yet.
+// stop cancels all attempts but the one that is used, after a grace. That one's context lives on until the request's ends,
+// since its response may not have been read yet.
 func (r *parallelAttempts) stop(used attemptEnd) {
-	for l, cancel := range r.cancels {
-		if l != used.lease {
-			cancel(errLostRace)
+	for _, a := range r.started {
+		if a.lease != used.lease && a.detach() {
+			time.AfterFunc(lostRaceGrace.Duration(), func() { a.cancel(errLostRace) })
 		}
 	}
 	if r.running == 0 {
