--- a/node/target_leaving_test.go
+++ b/node/target_leaving_test.go
@@ -42,8 +42,8 @@
 			time.Sleep(time.Second)
 			leaving := targets[0]
 			leaving.SetFaults(x.faults)
-			leaving.SayLeaving()
 			said := time.Now()
+			leaving.SayLeaving()
 			time.Sleep(leavingBound + leavingFor)
 			stop()
 			first, late := time.Time{}, 0
