Nodes log the store's era, and records that it returns and that are not newer than those held

The logs could not tell whether a state was read and dropped or not read after the store came back from a copy. Now: event=store_era with the era as it is first heard and as it rises, event=records_unused with the versions read and held, the version asked after in event=store_gap, tinladder_store_era and tinladder_store_records_unused_total. The choice of what is kept does not change.

--- a/node/duty.go
+++ b/node/duty.go
@@ -85,6 +85,8 @@
 	differences map[store.Kind]difference
 	// rereadState is whether to read the state whole instead of following changes from the version held.
 	rereadState bool
+	// era is the newest era of the store that this node knows of.
+	era uint64
 }
 
 func newDuty(n *Node) *duty {
@@ -204,13 +206,14 @@
 		if d.hall.Failing() {
 			d.confirmToHall() // tells the hall that this node queries the store
 		}
-		next, at, err := d.query(ctx, k, d.cursor(k))
+		after := d.cursor(k)
+		next, at, err := d.query(ctx, k, after)
 		switch {
 		case err == nil:
 			d.querySucceeded(k, next, at)
 		case errors.Is(err, store.ErrGap):
 			d.dropCursor(k)
-			d.node.log.WithFields(logrus.Fields{"event": "store_gap", "kind": k}).Warn()
+			d.node.log.WithFields(logrus.Fields{"event": "store_gap", "kind": k, "after": after}).Warn()
 		case errors.Is(err, store.ErrSuperseded):
 			d.dropCursor(k)
 			d.node.log.WithFields(logrus.Fields{"event": "store_superseded", "kind": k}).Info()
@@ -293,6 +296,8 @@
 	}
 	at = n.clock.Now()
 	d.logSlowRead(k, m, r, at-sent, err)
+	d.logUnused(k, m, r, news)
+	d.noteEra(r.Era)
 	if err == nil && r.Clock > 0 {
 		d.proof.ObserveStore(sent, at, r.Clock, k == store.State && n.records.hasNewestState())
 	}
@@ -335,6 +340,34 @@
 	}).Info()
 }
 
+// noteEra logs and counts a new era of the store.
+func (d *duty) noteEra(era uint64) {
+	d.mu.Lock()
+	was := d.era
+	d.era = max(was, era)
+	d.mu.Unlock()
+	if era > was {
+		d.node.metrics.storeEra(era)
+		d.node.log.WithFields(logrus.Fields{"event": "store_era", "era": era, "was": was}).Warn()
+	}
+}
+
+// logUnused logs records that the store returned as changes, or as the state, and that are not newer than those held.
+func (d *duty) logUnused(k store.Kind, m store.Cursor, r store.Reply, news []replica.Record) {
+	if len(r.Records) <= len(news) || m == 0 && k != store.State {
+		return
+	}
+	var newest uint64
+	for _, x := range r.Records {
+		newest = max(newest, x.Version)
+	}
+	d.node.metrics.recordsUnused(k, len(r.Records)-len(news))
+	d.node.log.WithFields(logrus.Fields{
+		"event": "records_unused", "kind": k, "after": m, "upto": r.Cursor, "count": len(r.Records) - len(news), "newest": newest,
+		"held": d.node.records.sets[k].Newest(), "era": r.Era,
+	}).Info()
+}
+
 // readNow reads the kind from the store in the background, after a write.
 func (d *duty) readNow(k store.Kind) {
 	go func() {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -124,6 +124,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_store_calls_total{kind=%q,follow="%v"}`, k, follow)).Inc()
 }
 
+// storeEra sets the newest era of the store.
+func (m *nodeMetrics) storeEra(era uint64) {
+	m.set.GetOrCreateGauge("tinladder_store_era", nil).Set(float64(era))
+}
+
+// recordsUnused counts records that the store returned and that are not newer than those held.
+func (m *nodeMetrics) recordsUnused(k store.Kind, count int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_store_records_unused_total{kind=%q}`, k)).Add(count)
+}
+
 func (m *nodeMetrics) storeFailed(k store.Kind) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_store_calls_failed_total{kind=%q}`, k)).Inc()
 }
--- a/store/store.go
+++ b/store/store.go
@@ -120,6 +120,8 @@
 	Cursor Cursor
 	// Clock is the reading of the store's monotonic clock at that time; 0 if it has none.
 	Clock clock.Millis
+	// Era rises each time that the store loses what was written after some moment; 0 if it is not known.
+	Era uint64
 }
 
 // Source provides the records of each kind.
