What the store writes after it came back from a copy is newer than what it wrote before

What callers saw: requests handled by a state older than one acknowledged more than 2 s before; with other numbers, routes that were never served.

Cause: versions of the store were compared across its return. It goes back and gives numbers out again, so a state with a lower number was read and dropped as old, until the counter passed the held one.

A version is now that of the pair, era and counter (replica.NewVersion): records, cursors, marks and conditions of writes alike. An answer of another era than its question is a gap; one of an earlier era than known is not used; a condition of an earlier era is not sent. A desired state and a document are ordered by the version that they name themselves, and travel under new names between nodes, so that releases side by side do not mix the orders. What the copy lacks is kept for 2.5 s, as what it lists of deleted records is not taken; then all is read once more and what is still missing is gone. A key is not proved by a store that came back less than 2.5 s ago. A gap that follows a gap waits for 0.2 to 1 s.

Two tests name the kinds of messages and follow the new names; TestStateNeverGoesBack waited for event=state_ignored, and an older state is now dropped a step earlier, with event=records_unused. What they demand is unchanged.

--- a/node/behind_test.go
+++ b/node/behind_test.go
@@ -9,7 +9,6 @@
 	"github.com/matryer/is"
 	"github.com/tinladder/tinladder/platform/standin"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
-	"github.com/tinladder/tinladder/store"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -30,11 +29,14 @@
 	}
 }
 
+// stateInMessages is the name of the desired state among kinds in messages between nodes.
+const stateInMessages = "state/own"
+
 // confirmOfState is a confirmation from another node that it holds this version of the state. Its address is unreachable.
 func confirmOfState(version uint64) *tlv1.Parcel {
 	return &tlv1.Parcel{Body: &tlv1.Parcel_Confirm{Confirm: &tlv1.Confirm{
 		Node: "n9", Incarnation: 1, Hall: "h0", PeerAddress: "127.0.0.1:9",
-		Kinds: []*tlv1.KindSum{{Kind: string(store.State), Sum: 1, Newest: version}},
+		Kinds: []*tlv1.KindSum{{Kind: stateInMessages, Sum: 1, Newest: version}},
 	}}}
 }
 
--- a/node/compare_test.go
+++ b/node/compare_test.go
@@ -38,7 +38,7 @@
 		all.Go(func() {
 			c := tinladderv1connect.NewFleetServiceClient(http.DefaultClient, "http://"+n.peers)
 			res, err := c.Sync(t.Context(), connect.NewRequest(&tlv1.SyncRequest{
-				Kinds: []*tlv1.KindSum{{Kind: string(store.State)}, {Kind: string(store.Targets)}}, Pulls: true,
+				Kinds: []*tlv1.KindSum{{Kind: stateInMessages}, {Kind: string(store.Targets)}}, Pulls: true,
 			}))
 			if err != nil {
 				t.Error(err)
@@ -51,7 +51,7 @@
 				if r.GetKind() == string(store.Targets) {
 					given += len(r.GetRecords())
 				}
-				state = state || r.GetKind() == string(store.State)
+				state = state || r.GetKind() == stateInMessages
 			}
 			if state && len(res.Msg.GetMembers()) > 0 {
 				answered++
--- a/node/confirm.go
+++ b/node/confirm.go
@@ -6,6 +6,7 @@
 
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/replica"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"github.com/tinladder/tinladder/store"
 	"github.com/tinladder/tinladder/watcher"
@@ -138,7 +139,7 @@
 func (d *duty) kindSums() []*tlv1.KindSum {
 	var list []*tlv1.KindSum
 	for _, k := range d.node.allKinds() {
-		s := &tlv1.KindSum{Kind: string(k), AgeMs: neverConfirmed}
+		s := &tlv1.KindSum{Kind: wireName(k), AgeMs: neverConfirmed}
 		d.mu.Lock()
 		s.Mark = uint64(d.cursors[k]) // read before the sum: the cursor must not cover records that come in between
 		if at := d.confirmedAt[k]; at > 0 {
@@ -227,11 +228,15 @@
 	same := true
 	now := d.node.clock.Now()
 	for _, s := range kinds {
-		k := store.Kind(s.GetKind())
+		k := kindNamed(s.GetKind())
 		if !slices.Contains(d.node.allKinds(), k) {
 			continue
 		}
 		d.node.lag.observe(k, s.GetNewest(), address)
+		era := replica.EraOf(s.GetMark())
+		if s.GetMark() > 0 {
+			d.noteEra(era)
+		}
 		if set := d.node.records.sets[k]; set.Sum() != s.GetSum() {
 			if k == store.State {
 				d.node.puller.fetch(s.GetNewest(), address)
@@ -241,7 +246,7 @@
 			continue
 		}
 		d.noteMatch(k, s.GetNewest())
-		if k == store.State && d.node.records.hasNewestState() {
+		if k == store.State && d.node.records.hasNewestState() && era == d.knownEra() { // a proof of an earlier era says nothing of this one
 			d.proof.Merge(clock.Millis(s.GetProved()), now)
 		}
 		if s.GetAgeMs() == neverConfirmed {
--- a/node/duty.go
+++ b/node/duty.go
@@ -46,6 +46,15 @@
 	// rereadAfter is how old the last confirmation must be for a node that the store refused to read only the newest
 	// state. It may have missed several versions, and following them transfers each of them over its link.
 	rereadAfter clock.Millis = 400
+	// minGapDelay and maxGapDelay bound the pause after a gap that follows another one. It doubles, at most maxGapDoublings
+	// times.
+	minGapDelay     clock.Millis = 100
+	maxGapDelay                  = 1 * clock.Second
+	maxGapDoublings              = 8
+	// sweepDelay is how long a node that does not watch waits for the watchers' reads of what is left of an earlier era.
+	sweepDelay = 2 * clock.Second
+	// sweepRankDelay is how much longer each node waits than the one ranked before it.
+	sweepRankDelay clock.Millis = 50
 	// neverConfirmed is the age of a kind that was never confirmed.
 	neverConfirmed = -1
 )
@@ -85,14 +94,19 @@
 	differences map[store.Kind]difference
 	// rereadState is whether to read the state whole instead of following changes from the version held.
 	rereadState bool
-	// era is the newest era of the store that this node knows of.
-	era uint64
+	// era is the newest era of the store that this node knows of, and returnedAt when it was first known if another one had
+	// been; else 0. The era is not known before eraKnown is set.
+	era        uint64
+	eraKnown   bool
+	returnedAt clock.Millis
+	// gaps counts the questions in a row whose changes the store did not have, by kind.
+	gaps map[store.Kind]int
 }
 
 func newDuty(n *Node) *duty {
 	return &duty{
 		node: n, startedAt: n.clock.Now(), waitsAtStart: waitsForOthers(n), startJitter: rand.Float64(), confirmedAt: map[store.Kind]clock.Millis{},
-		queriedAt: map[store.Kind]clock.Millis{}, cursors: map[store.Kind]store.Cursor{}, differences: map[store.Kind]difference{}, hall: watcher.New(n.clock, n.self), cachedRank: -1,
+		queriedAt: map[store.Kind]clock.Millis{}, cursors: map[store.Kind]store.Cursor{}, gaps: map[store.Kind]int{}, differences: map[store.Kind]difference{}, hall: watcher.New(n.clock, n.self), cachedRank: -1,
 	}
 }
 
@@ -163,6 +177,9 @@
 	if !d.hasRecords(k) {
 		return now-d.startedAt >= d.startDelay()
 	}
+	if long, unswept := d.node.records.unswept(k); unswept && long >= sweepDelay+clock.Millis(d.rank())*sweepRankDelay {
+		return true
+	}
 	q := watcher.Query{Age: d.effectiveAge(k), Rank: d.rank(), Primary: k == store.State}
 	if q.Rank == 0 && now-d.startedAt <= watcher.StaleAfter/2 {
 		q.Rank = 1 // a node that has just started leaves the watch to the others
@@ -213,7 +230,8 @@
 			d.querySucceeded(k, next, at)
 		case errors.Is(err, store.ErrGap):
 			d.dropCursor(k)
-			d.node.log.WithFields(logrus.Fields{"event": "store_gap", "kind": k, "after": after}).Warn()
+			d.node.log.WithFields(logrus.Fields{"event": "store_gap", "kind": k, "after": after, "error": err}).Warn()
+			sleep(ctx, d.gapDelay(k))
 		case errors.Is(err, store.ErrSuperseded):
 			d.dropCursor(k)
 			d.node.log.WithFields(logrus.Fields{"event": "store_superseded", "kind": k}).Info()
@@ -224,7 +242,7 @@
 }
 
 // cursor returns up to where this node holds all changes of the kind; 0 if it must read all. The state is one
-// record, whose newest version is a cursor too.
+// record, whose row's version is a cursor too.
 func (d *duty) cursor(k store.Kind) store.Cursor {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -232,12 +250,23 @@
 	if k == store.State && d.mayHaveMissed && d.node.clock.Now()-d.confirmedAt[k] >= rereadAfter {
 		return 0
 	}
+	if _, unswept := d.node.records.unswept(k); unswept {
+		return 0
+	}
 	if k == store.State && !d.rereadState {
-		m = max(m, store.Cursor(d.node.records.sets[k].Newest()))
+		m = max(m, store.Cursor(d.node.records.stateRow()))
 	}
 	return m
 }
 
+// gapDelay returns the pause before all records of the kind are read again: none after the first of several gaps in a row.
+func (d *duty) gapDelay(k store.Kind) clock.Millis {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gaps[k]++
+	return min(minGapDelay<<min(d.gaps[k], maxGapDoublings)-2*minGapDelay, maxGapDelay)
+}
+
 // dropCursor makes this node read all again: the changes after its cursor are unknown or take longer to transfer.
 func (d *duty) dropCursor(k store.Kind) {
 	d.mu.Lock()
@@ -266,7 +295,11 @@
 // longPollTime returns how long a call for changes waits: no longer than until the kind's confirmation is stale, so that
 // other nodes do not start to watch as well, and this node does not count as lagging.
 func (d *duty) longPollTime(k store.Kind) clock.Millis {
-	return max(maxLongPoll(k)-d.age(k), minLongPoll)
+	long := maxLongPoll(k) - d.age(k)
+	if settling := d.node.records.settling(k); settling > 0 {
+		long = min(long, settling)
+	}
+	return max(long, minLongPoll)
 }
 
 // query reads all records of the kind if the cursor is 0, or else the changes after it, and distributes what is new. It
@@ -279,6 +312,7 @@
 	sent := n.clock.Now()
 	if m == 0 {
 		r, err = n.source.Read(ctx, k)
+		d.noteAnswer(err)
 		if err == nil {
 			for _, with := range withKinds(r) {
 				d.broadcastNew(with, n.records.replace(with, r.With[with], r.Cursor, fromStore))
@@ -287,6 +321,7 @@
 		}
 	} else {
 		r, err = n.source.Follow(ctx, k, m, d.longPollTime(k))
+		d.noteAnswer(err)
 		if err == nil {
 			for _, with := range withKinds(r) {
 				d.broadcastNew(with, n.records.put(with, r.With[with], fromStore))
@@ -297,9 +332,8 @@
 	at = n.clock.Now()
 	d.logSlowRead(k, m, r, at-sent, err)
 	d.logUnused(k, m, r, news)
-	d.noteEra(r.Era)
 	if err == nil && r.Clock > 0 {
-		d.proof.ObserveStore(sent, at, r.Clock, k == store.State && n.records.hasNewestState())
+		d.proof.ObserveStore(sent, at, r.Clock, k == store.State && n.records.hasNewestState() && d.isSettled())
 	}
 	if err != nil {
 		return r.Cursor, at, err
@@ -340,18 +374,6 @@
 	}).Info()
 }
 
-// noteEra logs and counts a new era of the store.
-func (d *duty) noteEra(era uint64) {
-	d.mu.Lock()
-	was := d.era
-	d.era = max(was, era)
-	d.mu.Unlock()
-	if era > was {
-		d.node.metrics.storeEra(era)
-		d.node.log.WithFields(logrus.Fields{"event": "store_era", "era": era, "was": was}).Warn()
-	}
-}
-
 // logUnused logs records that the store returned as changes, or as the state, and that are not newer than those held.
 func (d *duty) logUnused(k store.Kind, m store.Cursor, r store.Reply, news []replica.Record) {
 	if len(r.Records) <= len(news) || m == 0 && k != store.State {
@@ -385,6 +407,9 @@
 // querySucceeded records that the store answered this node: the cursor, and the time for which it is valid.
 func (d *duty) querySucceeded(k store.Kind, m store.Cursor, at clock.Millis) {
 	d.mu.Lock()
+	if d.cursors[k] > 0 {
+		delete(d.gaps, k) // followed, not read again
+	}
 	d.cursors[k] = max(d.cursors[k], m)
 	d.rereadState = d.rereadState && k != store.State
 	d.confirmedAt[k], d.queriedAt[k] = max(d.confirmedAt[k], at), d.node.clock.Now()
--- a/node/large_state_test.go
+++ b/node/large_state_test.go
@@ -17,7 +17,6 @@
 	"github.com/tinladder/tinladder/platform/standin"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"github.com/tinladder/tinladder/schema/tinladder/v1/tinladderv1connect"
-	"github.com/tinladder/tinladder/store"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -350,7 +349,7 @@
 	f.ready(3, 1)
 	client := tinladderv1connect.NewFleetServiceClient(f.http, "http://"+n.peersAt)
 	pull := func(held uint64, from string) *tlv1.PullResponse {
-		res, err := client.Pull(t.Context(), connect.NewRequest(&tlv1.PullRequest{Kind: string(store.State), Held: held, PeerAddress: from}))
+		res, err := client.Pull(t.Context(), connect.NewRequest(&tlv1.PullRequest{Kind: stateInMessages, Held: held, PeerAddress: from}))
 		is.NoErr(err)
 		return res.Msg
 	}
@@ -399,7 +398,7 @@
 		{Key: "config", Version: 1001, Packed: []byte("garbage")},
 		{Key: "config", Version: 1002, Packed: whole, Check: 1},
 	} {
-		raw, err := proto.Marshal(&tlv1.Parcel{Body: &tlv1.Parcel_Records{Records: &tlv1.Records{Kind: string(store.State), Records: []*tlv1.Record{x}}}})
+		raw, err := proto.Marshal(&tlv1.Parcel{Body: &tlv1.Parcel_Records{Records: &tlv1.Records{Kind: stateInMessages, Records: []*tlv1.Record{x}}}})
 		is.NoErr(err)
 		_, err = to.Write(raw)
 		is.NoErr(err)
--- a/node/node.go
+++ b/node/node.go
@@ -59,6 +59,8 @@
 	// Suspects stores the requests under which targets crashed.
 	Suspects store.Table
 	Objects  store.Objects
+	// Era returns the newest era of the store that an answer named. It rises each time that the store comes back from a copy.
+	Era      func() uint64
 	Protocol Protocol
 	// DialTarget opens connections to targets; nil stands for a dialer of the node's own.
 	DialTarget forward.DialFunc
--- a/node/peers.go
+++ b/node/peers.go
@@ -119,7 +119,7 @@
 		Known: uint32(n.quotas.peakLive.observe(len(n.members.Live())+1, n.clock.Now())),
 	}
 	for _, theirs := range req.Msg.GetKinds() {
-		switch k := store.Kind(theirs.GetKind()); {
+		switch k := kindNamed(theirs.GetKind()); {
 		case !p.differs(theirs):
 		case k == store.State && p.sendsState(theirs, req.Msg.GetPulls()), k == store.Evacuations:
 			res.Records = append(res.Records, n.records.toWire(k, n.records.sets[k].All()))
@@ -152,7 +152,7 @@
 		})
 	}
 	for _, theirs := range req.GetKinds() {
-		k := store.Kind(theirs.GetKind())
+		k := kindNamed(theirs.GetKind())
 		switch {
 		case k == store.State || k == store.Evacuations || !p.differs(theirs):
 		case !req.GetPacks():
@@ -252,7 +252,7 @@
 
 // differs reports whether this node holds other records of a kind than the node that asks.
 func (p *peers) differs(theirs *tlv1.KindSum) bool {
-	set := p.node.records.sets[store.Kind(theirs.GetKind())]
+	set := p.node.records.sets[kindNamed(theirs.GetKind())]
 	return set != nil && set.Sum() != theirs.GetSum()
 }
 
@@ -341,7 +341,7 @@
 	begun := n.clock.Now()
 	req := &tlv1.SyncRequest{Kinds: n.duty.kindSums(), RecordsOnly: !full, Pulls: true, Packs: true, Services: n.services.loadedServices()}
 	for _, s := range req.Kinds {
-		if k := store.Kind(s.GetKind()); k != store.State {
+		if k := kindNamed(s.GetKind()); k != store.State {
 			s.Sums = n.records.sets[k].BucketSums()
 		}
 	}
@@ -411,7 +411,7 @@
 
 // recordsOrder is the sort key of records of a kind: those of the state are last.
 func recordsOrder(r *tlv1.Records) int {
-	if store.Kind(r.GetKind()) == store.State {
+	if kindNamed(r.GetKind()) == store.State {
 		return 1
 	}
 	return 0
--- a/node/puller.go
+++ b/node/puller.go
@@ -145,7 +145,7 @@
 	defer guard.Close()
 	c := tinladderv1connect.NewFleetServiceClient(n.peers.http, "http://"+address, uncompressed)
 	res, err := c.Pull(withGuard(ctx, guard), connect.NewRequest(&tlv1.PullRequest{
-		Kind: string(store.State), Held: held, PeerAddress: n.settings().Node.PeersAddress(),
+		Kind: wireName(store.State), Held: held, PeerAddress: n.settings().Node.PeersAddress(),
 	}))
 	n.metrics.pulled(err == nil, res != nil && res.Msg.GetBusy(), n.far(address), int(guard.BytesRead()))
 	if err != nil {
@@ -163,7 +163,7 @@
 		p.handleNoRecord(address, res.Msg)
 		return false
 	}
-	n.records.receive(&tlv1.Records{Kind: string(store.State), Records: []*tlv1.Record{x}}, address)
+	n.records.receive(&tlv1.Records{Kind: wireName(store.State), Records: []*tlv1.Record{x}}, address)
 	if p.held() <= held {
 		p.removeHolder(address)
 		return false
@@ -196,7 +196,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if x == nil || store.Kind(req.Msg.GetKind()) != store.State {
+	if x == nil || kindNamed(req.Msg.GetKind()) != store.State {
 		return connect.NewResponse(&tlv1.PullResponse{}), nil
 	}
 	if len(x.GetPacked()) <= maxDatagramRecordBytes {
--- a/node/records.go
+++ b/node/records.go
@@ -63,6 +63,9 @@
 
 // replace replaces the replica of a kind with all records that the store has, as read at cursor m.
 func (r *records) replace(k store.Kind, list []replica.Record, m store.Cursor, from string) []replica.Record {
+	if k.HasOwnVersions() {
+		return r.put(k, list, from)
+	}
 	changed := r.sets[k].Replace(list, uint64(m))
 	r.apply(k, changed, from)
 	return changed
@@ -164,7 +167,7 @@
 // what the one in force allows.
 func (r *records) hasNewestState() bool {
 	x := r.refused.Load()
-	return x == nil || x.Version <= r.sets[store.State].Newest()
+	return x == nil || x.Version <= r.stateRow()
 }
 
 // noStateReason explains to callers why there is no desired state.
@@ -271,13 +274,17 @@
 	if was.version == t.version {
 		return was
 	}
-	if t.generation == 0 { // the start time is unknown; a lower seq means a restart
+	restored := replica.EraOf(t.version) != replica.EraOf(was.version) && t.seq <= was.seq
+	if t.generation == 0 { // the start time is unknown; a lower seq means a restart, or comes from a copy of the store
 		t.generation = was.generation
-		if t.seq < was.seq {
+		if t.seq < was.seq && !restored {
 			t.generation++
 		}
 	}
 	if t.generation == was.generation {
+		if restored {
+			t.seq, t.leaving = was.seq, t.leaving || was.leaving
+		}
 		return t
 	}
 	r.node.conns.CloseIdle(was.address)
@@ -290,10 +297,10 @@
 // toWire returns records in the form in which they are sent to other nodes.
 func (r *records) toWire(k store.Kind, list []replica.Record) *tlv1.Records {
 	now := r.node.clock.Now()
-	out := &tlv1.Records{Kind: string(k)}
+	out := &tlv1.Records{Kind: wireName(k)}
 	for _, x := range list {
 		out.Records = append(out.Records, &tlv1.Record{
-			Key: x.Key, Version: x.Version, Gone: x.Deleted, Value: x.Value, AgeMs: int64(max(now-x.ReadAt, 0)),
+			Key: x.Key, Version: x.Version, Gone: x.Deleted, Value: x.Value, Row: x.Row, AgeMs: int64(max(now-x.ReadAt, 0)),
 		})
 	}
 	return out
@@ -302,9 +309,10 @@
 // receive adds records that another node has sent.
 func (r *records) receive(m *tlv1.Records, from string) {
 	now := r.node.clock.Now()
+	k := kindNamed(m.GetKind())
 	list := make([]replica.Record, 0, len(m.GetRecords()))
 	for _, x := range m.GetRecords() {
-		value, err := r.valueOf(store.Kind(m.GetKind()), x)
+		value, err := r.valueOf(k, x)
 		if err != nil {
 			r.node.log.WithFields(logrus.Fields{
 				"event": "record_unreadable", "key": x.GetKey(), "version": x.GetVersion(), "base": x.GetBase(), "from": from, "error": err,
@@ -312,10 +320,14 @@
 			continue
 		}
 		list = append(list, replica.Record{
-			Key: x.GetKey(), Version: x.GetVersion(), Deleted: x.GetGone(), Value: value, ReadAt: now - clock.Millis(x.GetAgeMs()),
+			Key: x.GetKey(), Version: x.GetVersion(), Deleted: x.GetGone(), Value: value, Row: x.GetRow(), ReadAt: now - clock.Millis(x.GetAgeMs()),
 		})
 	}
-	k := store.Kind(m.GetKind())
+	if !k.HasOwnVersions() {
+		for _, x := range list {
+			r.node.duty.noteEra(replica.EraOf(x.Version))
+		}
+	}
 	changed := r.put(k, list, from)
 	if m.GetHall() != "" && ident.Hall(m.GetHall()) != r.node.hall() && len(changed) > 0 {
 		r.node.duty.forwardToHall(k, changed)
--- a/node/records_test.go
+++ b/node/records_test.go
@@ -101,7 +101,7 @@
 	f.ready(5, 1)
 	f.store.Configure(4, []string{"desk"}, route("/old/", standin.Repeatable, "desk"))
 	f.eventually("the older one was seen", func() bool {
-		return strings.Contains(f.nodes[0].log.String(), "event=state_ignored") || inForce(f.nodes[0], 4)
+		return f.logLines("event=records_unused", "kind=state", "newest=4") > 0 || inForce(f.nodes[0], 4)
 	})
 	f.store.Put("op", "config", []byte(`{"version":"r9","routes":[`))
 	f.store.Put("op", "config", []byte(`{"version":"r10","routes":{}}`))
--- a/node/spread.go
+++ b/node/spread.go
@@ -91,7 +91,7 @@
 		n.log.WithFields(logrus.Fields{"event": "state_not_packed", "error": err}).Error()
 	}
 	if x != nil && len(x.GetPacked()) <= maxDatagramRecordBytes {
-		d.sendRecords(&tlv1.Records{Kind: string(store.State), Records: []*tlv1.Record{x}}, to)
+		d.sendRecords(&tlv1.Records{Kind: wireName(store.State), Records: []*tlv1.Record{x}}, to)
 		return
 	}
 	d.confirmToRandom(extraConfirms)
--- a/node/state_transfer.go
+++ b/node/state_transfer.go
@@ -95,11 +95,11 @@
 		if err != nil {
 			return nil, err
 		}
-		packed = &tlv1.Record{Key: x.Key, Version: x.Version, Packed: raw, Base: held, Check: xxhash.Sum64(x.Value)}
+		packed = &tlv1.Record{Key: x.Key, Version: x.Version, Row: x.Row, Packed: raw, Base: held, Check: xxhash.Sum64(x.Value)}
 		h.encoded[held] = packed
 	}
 	return &tlv1.Record{
-		Key: packed.Key, Version: packed.Version, Packed: packed.Packed, Base: packed.Base, Check: packed.Check,
+		Key: packed.Key, Version: packed.Version, Row: packed.Row, Packed: packed.Packed, Base: packed.Base, Check: packed.Check,
 		AgeMs: int64(max(h.clock.Now()-x.ReadAt, 0)),
 	}, nil
 }
--- a/node/store_returns_test.go
+++ b/node/store_returns_test.go
@@ -91,6 +91,7 @@
 // TestChangeAfterTheStoreReturnsIsInForceInTime has the store come back from a copy and the operator change the state. The
 // store's versions had gone back, and the nodes dropped what they read as old.
 func TestChangeAfterTheStoreReturnsIsInForceInTime(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name string
 		// lost is how many writes are lost, early how many are made before the nodes reach the store again.
@@ -107,6 +108,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(t, 6)
 			a := f.target("i-1", "desk")
 			f.target("i-2", "desk")
@@ -156,6 +158,7 @@
 // TestChangeAfterTheStoreReturnsReachesAllNodes has the store turn two nodes away as it comes back, while another one is
 // stopped and started. A node that no longer asks the store learns of its return from others.
 func TestChangeAfterTheStoreReturnsReachesAllNodes(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 6)
 	a := f.target("i-1", "desk")
 	f.store.Configure(3, []string{"desk"}, desk("/get/")...)
@@ -184,6 +187,7 @@
 // TestStoreThatReturnsIsNotFlooded counts the calls to the store after it came back from a copy. An answer of 410 was followed
 // by a read and by the same question, without a pause.
 func TestStoreThatReturnsIsNotFlooded(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 6)
 	a := f.target("i-1", "desk")
 	f.calm(3)
@@ -206,6 +210,7 @@
 // TestTargetsThatTheCopyLacksKeepTheirWork has the store come back from a copy that is older than a target. The target writes
 // its row again 2 s later; one that does not is taken as gone after that.
 func TestTargetsThatTheCopyLacksKeepTheirWork(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 3)
 	f.calm(3)
 	f.target("i-1", "desk")
@@ -244,6 +249,7 @@
 // TestTargetsThatLeftStayAwayAsTheStoreReturns has the store come back from a copy in which two targets are ready: one has said
 // since that it leaves, the row of the other was removed.
 func TestTargetsThatLeftStayAwayAsTheStoreReturns(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 3)
 	f.calm(3)
 	f.target("i-1", "desk")
@@ -273,6 +279,7 @@
 // TestEvacuationHoldsAsTheStoreReturns has the store come back from a copy that is older than an evacuation, which the operator
 // writes again 2 s later.
 func TestEvacuationHoldsAsTheStoreReturns(t *testing.T) {
+	t.Parallel()
 	f, inHall := newTwoHallFleet(t)
 	kept := f.store.Copy()
 	f.store.Evacuate("h0")
@@ -290,6 +297,7 @@
 // TestKeyTakenAwayStaysDeadAsTheStoreReturns has the store come back from a copy in which a key is still there. A node that
 // missed the change, since it reached neither the store nor others, reads that copy.
 func TestKeyTakenAwayStaysDeadAsTheStoreReturns(t *testing.T) {
+	t.Parallel()
 	const revoke = 3 * time.Second
 	f := startFleet(t, 1, &fleet{via: func(store string) string { return store }, extraSettings: func(int) string {
 		return fmt.Sprintf("revoke = %q\n", revoke)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -30,6 +30,8 @@
 	Key string
 	// Version orders the records of one key. 0 means that the record exists and cannot be read.
 	Version uint64
+	// Row is the version of the store's row with the record, if Version is the record's own; else 0.
+	Row uint64
 	// Deleted marks a tombstone, which has no value.
 	Deleted bool
 	Value   []byte
@@ -47,11 +49,13 @@
 	// sums holds the checksum of each bucket.
 	sums   [Buckets]uint64
 	newest uint64
+	// restored follows the store's return from a copy.
+	restored restored
 }
 
 // New returns an empty set.
 func New(c clock.Clock) *Set {
-	return &Set{clock: c, records: map[string]Record{}, deletedAt: map[string]clock.Millis{}}
+	return &Set{clock: c, records: map[string]Record{}, deletedAt: map[string]clock.Millis{}, restored: restored{heldBack: map[string]bool{}}}
 }
 
 // Put adds the records that are newer than those held, and returns them.
@@ -64,9 +68,18 @@
 func (s *Set) put(list []Record) (changed []Record) {
 	for _, r := range list {
 		old, held := s.records[r.Key]
+		if held && old.Version == r.Version && old.Row < r.Row {
+			old.Row = r.Row
+			s.records[r.Key] = old
+		}
 		if r.Version == 0 || held && old.Version >= r.Version {
 			continue
 		}
+		s.noteEra(r.Version)
+		if s.mayBeOutdated(old, held, r) {
+			continue
+		}
+		delete(s.restored.heldBack, r.Key)
 		if r.Deleted {
 			r.Value = nil
 			s.deletedAt[r.Key] = s.clock.Now()
@@ -83,20 +96,30 @@
 }
 
 // Replace takes list as the complete set of records at the version. Held records that are missing from it become
-// tombstones, unless they are newer. It returns the records that changed.
+// tombstones, unless they are newer, or of an earlier era and may be written again. It returns the records that changed.
 func (s *Set) Replace(list []Record, version uint64) (changed []Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteEra(version)
+	settling := s.isSettling()
 	listed := make(map[string]bool, len(list))
 	for _, r := range list {
 		listed[r.Key] = true
 	}
 	for key, old := range s.records {
+		if settling && EraOf(old.Version) < s.restored.era {
+			continue
+		}
 		if !listed[key] && !old.Deleted && old.Version <= version {
 			list = append(list, Record{Key: key, Version: max(version, old.Version+1), Deleted: true, ReadAt: s.clock.Now()})
 		}
 	}
-	return s.put(list)
+	changed = s.put(list)
+	if !settling {
+		s.restored.unswept = false
+		clear(s.restored.heldBack)
+	}
+	return changed
 }
 
 // expireTombstones removes tombstones older than TombstoneTTL.
--- a/store/store.go
+++ b/store/store.go
@@ -96,13 +96,19 @@
 	Suspects Kind = "suspects"
 )
 
+// HasOwnVersions reports whether records of the kind name their version themselves, and are ordered by it. They are never
+// deleted. All other records have the versions of the store's rows, which go back when the store loses rows.
+func (k Kind) HasOwnVersions() bool {
+	return k == State || k == Documents
+}
+
 // Refusal reports a record, or a part of one, that can't be used.
 type Refusal struct {
 	Kind Kind
 	Key  string
 	// Part is the part of the record that can't be used; "" means all of it.
 	Part string
-	// Version is the record's.
+	// Version is that of the store's row.
 	Version uint64
 	Err     error
 }
--- a/tinladder.go
+++ b/tinladder.go
@@ -69,7 +69,7 @@
 	return node.Platform{
 		Source: func(refused func(store.Refusal)) store.Source { return platform.NewSource(client, c, refused) },
 		Table:  platform.NewTable(client), Suspects: platform.NewSuspects(client),
-		Objects: platform.NewObjects(client),
+		Objects: platform.NewObjects(client), Era: client.Era,
 		Protocol: node.Protocol{
 			Headers:        platform.Headers(),
 			ReadyPath:      platform.ReadyPath,
