Crash reports that the store loses with its return from a copy are written again

A copy without it, or with an older one, cleared what the fleet knew of a request that crashes targets, or brought back reports that had been cleared.

As the store comes back, no report counts as stored; the first node to watch of each hall writes its reports again, on the rows as they stand, and removes again what was cleared. Until the rows had the time for that, a row does not undo that a request was cleared.

Open: a trial whose claim is lost may be claimed once more by a node that never heard of it, until the row is written again.

--- a/node/era.go
+++ b/node/era.go
@@ -37,6 +37,7 @@
 		"event": "store_returned", "era": era, "was": was, "targets": d.node.records.sets[store.Targets].Len(),
 		"state": d.node.records.sets[store.State].Newest(),
 	}).Warn()
+	d.node.suspects.storeRestored()
 }
 
 // knownEra returns the newest era of the store that this node knows of.
--- a/node/suspect_rows.go
+++ b/node/suspect_rows.go
@@ -49,6 +49,21 @@
 	}
 }
 
+// storeRestored has the rows of requests written again that a copy of the store may lack. The first to watch of each hall
+// writes them.
+func (s *suspects) storeRestored() {
+	lost := s.list.StoreRestored(s.node.clock.Now() + replica.ReturnGrace)
+	if len(lost) == 0 || s.node.duty.rank() > 0 {
+		return
+	}
+	s.list.MarkLost(lost)
+	s.node.log.WithFields(logrus.Fields{"event": "suspects_lost", "count": len(lost)}).Warn()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
 // claimTrials claims a trial for each of the request's fingerprints that is quarantined, and reports whether all were granted.
 func (s *suspects) claimTrials(ctx context.Context, x *exchange) bool {
 	for _, p := range x.fingerprints() {
@@ -92,9 +107,9 @@
 func (s *suspects) saveRow(ctx context.Context, p quarantine.Fingerprint, trials int) (err error) {
 	defer func() { err = errors.Wrapf(err, "save crash reports of request %s", p) }()
 	key := quarantine.RowKey(p)
-	row := store.Row{Key: key}
-	if held, found := s.node.records.sets[store.Suspects].Get(key); found {
-		row.Value, row.Version = held.Value, held.Version
+	row, err := s.currentRow(ctx, key)
+	if err != nil {
+		return err
 	}
 	for range maxRowAttempts {
 		was := &tlv1.Suspects{}
@@ -126,6 +141,22 @@
 	return errors.Wrap(store.ErrContended, "the row is too busy")
 }
 
+// currentRow returns the row as this node knows it. If the store came back from a copy since, it reads the row.
+func (s *suspects) currentRow(ctx context.Context, key string) (store.Row, error) {
+	held, found := s.node.records.sets[store.Suspects].Get(key)
+	switch {
+	case found && replica.EraOf(held.Version) == s.node.duty.knownEra():
+		return store.Row{Key: key, Value: held.Value, Version: held.Version}, nil
+	case s.node.duty.knownEra() == 0:
+		return store.Row{Key: key}, nil
+	}
+	rows, err := s.table.Read(ctx, key)
+	if err != nil {
+		return store.Row{}, err
+	}
+	return rows[0], nil
+}
+
 // writeDirty writes changed reports to the store until the context ends.
 func (s *suspects) writeDirty(ctx context.Context) {
 	for {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -149,6 +149,8 @@
 	since clock.Millis
 	// clearedAt is when the request was last cleared, or 0.
 	clearedAt clock.Millis
+	// copiedUntil is until when a row that lists the request, although it was cleared, may come from a copy of the store; or 0.
+	copiedUntil clock.Millis
 	// stored is set if the store lists the request, and dirty if this node has to write it to the store.
 	stored, dirty bool
 }
@@ -227,7 +229,7 @@
 func (e *entry) add(list []Crash) (added bool) {
 	unmatched := slices.Clone(e.Crashes)
 	for _, c := range list {
-		if e.clearedAt > 0 && c.At <= e.clearedAt || c.AtIsUpperBound && e.Held() {
+		if e.clearedAt > 0 && c.At <= e.clearedAt || c.AtIsUpperBound && (e.Held() || c.At <= e.copiedUntil) {
 			continue
 		}
 		if i := slices.IndexFunc(unmatched, c.matches); i >= 0 {
--- a/quarantine/rows.go
+++ b/quarantine/rows.go
@@ -155,6 +155,34 @@
 	}
 }
 
+// StoreRestored records that the store came back from a copy, whose rows may lack what was written, and list what was cleared,
+// until settled. It returns the requests whose rows have to be written again.
+func (l *List) StoreRestored(settled clock.Millis) (lost []Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for fp, e := range l.entries {
+		if len(e.Crashes) == 0 && e.clearedAt > 0 {
+			e.copiedUntil = settled
+		}
+		if e.stored || e.clearedAt > 0 {
+			lost = append(lost, fp)
+		}
+		e.stored = false
+	}
+	return lost
+}
+
+// MarkLost marks requests for writing to the store again.
+func (l *List) MarkLost(lost []Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, fp := range lost {
+		if e := l.entries[fp]; e != nil {
+			e.dirty = true
+		}
+	}
+}
+
 // ageUnknown stands for an age that is not sent.
 const ageUnknown clock.Millis = -1
 
