Documents that the store loses with its return from a copy are written again

After a complete read that lacks one, or has an older version, the first node to watch of each hall writes it again by compare-and-set, as a change of its own above the version in force, so that later changes of operators follow it. Operators' calls go by the newer of the store's document and the node's own.

Listed: the outcome of a change that was lost is said to be voided, since nodes do not hold the ids of changes.

--- a/config/writer.go
+++ b/config/writer.go
@@ -66,6 +66,9 @@
 	Apply(ctx context.Context, r Request) (*tlv1.Change, error)
 	// Resolve returns the outcome of a change, and voids it if it was not applied.
 	Resolve(ctx context.Context, id string) (*tlv1.Change, error)
+	// Restore writes a document again that the store has lost, as a change of its own with a higher version. It returns nil
+	// if the store holds the document's version or a later one.
+	Restore(ctx context.Context, d *tlv1.Document) (*tlv1.Change, error)
 }
 
 type writer struct {
--- a/node/operators.go
+++ b/node/operators.go
@@ -129,10 +129,11 @@
 	ctx, cancel := context.WithTimeout(ctx, documentReadTimeout.Duration())
 	defer cancel()
 	d, err := s.node.configs.Document(ctx, k)
-	if err == nil {
+	held := s.node.heldDocument(k)
+	switch {
+	case err == nil && held.GetVersion() <= d.GetVersion():
 		return d, nil
-	}
-	if held := s.node.heldDocument(k); held != nil {
+	case held != nil: // a store that came back from a copy may lack it
 		return held, nil
 	}
 	return nil, connect.NewError(connect.CodeUnavailable, err)
--- a/node/records.go
+++ b/node/records.go
@@ -64,7 +64,9 @@
 // replace replaces the replica of a kind with all records that the store has, as read at cursor m.
 func (r *records) replace(k store.Kind, list []replica.Record, m store.Cursor, from string) []replica.Record {
 	if k.HasOwnVersions() {
-		return r.put(k, list, from)
+		changed := r.put(k, list, from)
+		r.restoreLost(k, list)
+		return changed
 	}
 	changed := r.sets[k].Replace(list, uint64(m))
 	r.apply(k, changed, from)
