Bytes that a target sends without end are bounded, and count against it

What callers saw: a body without a length and without an end was handed on to them until their request's time was over, at the rate of the link, and the target stayed the best choice.

Cause: three places read without a bound. Informational responses were skipped without a count; the body of a response to another request was closed, which reads all of it; a body without a length was streamed for as long as the request lasted, after its target had been counted as good. Bounded already: heads (64 KB), chunk extensions and trailers (net/http), bytes before and after a response.

Now at most 8 informational responses are skipped; a response to another request that is longer than 1 MB ends the attempt without reading on; a body without a length has at most 64 MB. A target counts as failing if such a body is too long, or has not ended in time while the caller took what came (a quarter of the time or more was spent waiting for the target).

--- a/forward/send.go
+++ b/forward/send.go
@@ -19,11 +19,16 @@
 	maxResponses = 3
 	// maxDiscardedBody bounds the body of a response to another request.
 	maxDiscardedBody = 1 << 20
+	// maxInformational bounds how many informational responses (1xx) are skipped.
+	maxInformational = 8
 )
 
 // ErrBadResponse marks responses that are malformed, or that belong to other requests.
 var ErrBadResponse = errors.New("malformed or unmatched response")
 
+// ErrBodyTooLong is the error of a response body whose length was not known and that exceeds the request's MaxBody.
+var ErrBodyTooLong = errors.New("response body is too long")
+
 // A Request is a request as it is sent to a target.
 type Request struct {
 	Method string
@@ -40,6 +45,8 @@
 	IDHeader string
 	// IDOptional allows a response without the id.
 	IDOptional bool
+	// MaxBody is the most bytes of a response body whose length is not known; 0 is unlimited.
+	MaxBody int64
 	// MaxIdle is the longest time that a reused connection may have been idle.
 	MaxIdle clock.Millis
 }
@@ -102,7 +109,7 @@
 		return nil, err
 	}
 	x.conn.readKeepAlive(res.Header)
-	return x.buffer(res)
+	return x.buffer(res, r.MaxBody)
 }
 
 func (x *transfer) newRequest(r *Request) *http.Request {
@@ -172,10 +179,13 @@
 			return res, nil
 		}
 		x.conn.noReuse = true
-		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardedBody)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardedBody))
+		if err != nil {
 			return nil, errors.Mark(errors.Wrap(err, "discard the response to another request"), ErrBadResponse)
 		}
-		_ = res.Body.Close()
+		if n == maxDiscardedBody { // closing the body would read all of it
+			return nil, errors.Wrap(ErrBadResponse, "the response to another request is too long")
+		}
 		if res.Close {
 			break
 		}
@@ -185,7 +195,7 @@
 
 // readFinal reads a response, skipping informational ones (1xx).
 func (x *transfer) readFinal(req *http.Request) (*http.Response, error) {
-	for {
+	for range maxInformational + 1 {
 		x.conn.limit.N = maxHeaderBytes
 		res, err := http.ReadResponse(x.conn.reader, req)
 		if err != nil {
@@ -196,10 +206,11 @@
 			return res, nil
 		}
 	}
+	return nil, errors.Wrapf(ErrBadResponse, "more than %d informational responses", maxInformational)
 }
 
-// buffer reads the body, or the start of a large one.
-func (x *transfer) buffer(httpRes *http.Response) (*Response, error) {
+// buffer reads the body, or the start of a large one. A body whose length is not known has at most maxBody bytes.
+func (x *transfer) buffer(httpRes *http.Response, maxBody int64) (*Response, error) {
 	res := &Response{Status: httpRes.StatusCode, Header: httpRes.Header, Closing: httpRes.Close, Length: -1, Trailer: httpRes.Trailer}
 	limit := io.LimitReader(httpRes.Body, maxBufferedBody)
 	var body bytes.Buffer
@@ -211,7 +222,10 @@
 		return nil, errors.Wrap(err, "read response body")
 	}
 	res.Body = body.Bytes()
-	rest := &rest{transfer: x, res: httpRes}
+	rest := &rest{transfer: x, res: httpRes, left: math.MaxInt64}
+	if maxBody > 0 && httpRes.ContentLength < 0 {
+		rest.left = max(maxBody-n, 0)
+	}
 	if n < maxBufferedBody {
 		rest.eof = true
 		_ = rest.Close()
@@ -226,11 +240,17 @@
 	transfer *transfer
 	res      *http.Response
 	eof      bool
+	// left is how many bytes more the body may have.
+	left int64
 }
 
 // Read implements io.Reader.
 func (r *rest) Read(p []byte) (int, error) {
-	n, err := r.res.Body.Read(p)
+	if r.left == 0 {
+		return 0, ErrBodyTooLong
+	}
+	n, err := r.res.Body.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
 	r.eof = r.eof || errors.Is(err, io.EOF)
 	return n, err
 }
--- a/node/answer.go
+++ b/node/answer.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tinladder/tinladder/clock"
@@ -38,7 +39,7 @@
 	_, err := x.w.Write(a.Body)
 	if a.Rest != nil {
 		if err == nil {
-			err = copyFlushing(x.w, a.Rest)
+			err = x.copyFlushing(a)
 		}
 		_ = a.Rest.Close()
 		x.finishStream(err)
@@ -93,31 +94,47 @@
 // errResponseTruncated marks responses that their target did not finish.
 var errResponseTruncated = errors.New("the target broke off")
 
+// errEndless marks responses without a length that were too long, or that did not end in time although the caller took them.
+var errEndless = errors.New("the response does not end")
+
 // finishStream records how a streamed response ended: only a complete one shows that the request did not crash its target.
 func (x *exchange) finishStream(err error) {
 	switch {
 	case x.usedLease == nil:
 	case err == nil:
 		x.node.suspects.recordSuccess(x)
+	case errors.Is(err, errEndless):
+		x.usedLease.RecordEndless()
 	case errors.Is(err, errResponseTruncated):
 		x.probeAfterLoss(context.Background(), x.usedLease)
 	}
 }
 
-// copyFlushing copies a large response and flushes each part as it arrives.
-func copyFlushing(w http.ResponseWriter, r io.Reader) error {
+// minReadShare is the share of a response's time that must have passed in waiting for its target, for the target to be what
+// made it late.
+const minReadShare = 0.25
+
+// copyFlushing copies the rest of a large response and flushes each part as it arrives.
+func (x *exchange) copyFlushing(a *forward.Response) error {
 	buf := make([]byte, maxBufferedBody)
+	begun := time.Now()
+	var reading time.Duration
 	for {
-		n, err := r.Read(buf)
+		at := time.Now()
+		n, err := a.Rest.Read(buf)
+		reading += time.Since(at)
 		if n > 0 {
-			if _, err := w.Write(buf[:n]); err != nil {
+			if _, err := x.w.Write(buf[:n]); err != nil {
 				return err
 			}
-			_ = http.NewResponseController(w).Flush()
+			_ = http.NewResponseController(x.w).Flush()
 		}
+		late := x.node.clock.Now() >= x.deadline-deadlineMargin && reading.Seconds() >= minReadShare*time.Since(begun).Seconds()
 		switch {
 		case errors.Is(err, io.EOF):
 			return nil
+		case errors.Is(err, forward.ErrBodyTooLong), err != nil && a.Length < 0 && late:
+			return errors.Mark(err, errEndless)
 		case err != nil:
 			return errors.Mark(err, errResponseTruncated)
 		}
--- a/node/outgoing.go
+++ b/node/outgoing.go
@@ -33,6 +33,8 @@
 	// target may have dropped a connection that was idle for long, and a run-once request would be lost on it.
 	maxIdleRepeatable = 30 * clock.Second
 	maxIdleOnce       = 5 * clock.Second
+	// maxUnframedBody bounds a response body whose length is not known, against targets that send bytes without end.
+	maxUnframedBody = 64 << 20
 )
 
 // setCallerDeadlines bounds how long a caller may take to send its request and to read its response, so that a slow one
@@ -178,7 +180,7 @@
 	return &forward.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h,
 		Body: x.body, Stream: x.stream, Length: x.r.ContentLength,
-		ID: x.id, IDHeader: x.headers.RequestID, IDOptional: x.headers.IDOptional, MaxIdle: maxIdleRepeatable,
+		ID: x.id, IDHeader: x.headers.RequestID, IDOptional: x.headers.IDOptional, MaxBody: maxUnframedBody, MaxIdle: maxIdleRepeatable,
 	}
 }
 
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -116,6 +116,19 @@
 	p.onChange(l.changeKind(urgent), l.hall)
 }
 
+// RecordEndless records that the rest of a response, whose start was good, did not end: the target is failing.
+func (l *Lease) RecordEndless() {
+	p := l.pool
+	p.mu.Lock()
+	p.recordOutcome(l, ConnectionLost, false)
+	l.target.markLoadChanged()
+	l.target.farReportPending = true
+	events := p.takeEvents()
+	p.mu.Unlock()
+	p.emit(events)
+	p.onChange(HealthEvidence, l.hall)
+}
+
 // recordLate records that no response came within the time that usual requests need.
 func (p *Pool) recordLate(t *target, now clock.Millis) {
 	p.updateBelief(t, "", now, func(b *belief.Belief) { b.ObserveLate(&p.tuning.Model, now) })
