--- a/cmd/tinladder-soak/main.go
+++ b/cmd/tinladder-soak/main.go
@@ -28,6 +28,7 @@
 	Crashers int           `arg:"--crashers" default:"1" help:"callers that send requests again and again that crash targets"`
 	Only     []string      `arg:"--only,separate" help:"a fault that may happen, by its name in the timeline; others do not"`
 	Planned  bool          `arg:"--planned" help:"only what operators do: stops in series, reloads, changes"`
+	Returns  bool          `arg:"--returns" help:"the store comes back from copies, beside faults of nodes, changes, and targets that come and go"`
 	Node     string        `arg:"--node" help:"the node's program; built if left out"`
 	Dir      string        `arg:"--dir" help:"where settings and logs go; those of failed seeds are kept there"`
 }
@@ -113,6 +114,9 @@
 	cfg.Nodes, cfg.Targets, cfg.Rate = args.Nodes, args.Targets, args.Rate
 	cfg.Resting, cfg.Planned = args.Resting, args.Planned
 	cfg.Leavers, cfg.Only = args.Leavers, args.Only
+	if args.Returns {
+		cfg.Only, args.Crashers = soak.Returns(seed, args.Node, dir).Only, 0
+	}
 	if !args.Planned {
 		cfg.Crashers = args.Crashers
 	}
--- a/node/admit.go
+++ b/node/admit.go
@@ -34,7 +34,8 @@
 	case access.Allowed:
 		return w, nil
 	case access.Unverified:
-		return nil, &Problem{Status: http.StatusServiceUnavailable, RetryAfter: jitter(unverifiedRetryAfter), Detail: v.String()}
+		wait := max(n.duty.settlesIn(), unverifiedRetryAfter)
+		return nil, &Problem{Status: http.StatusServiceUnavailable, RetryAfter: jitter(wait), Detail: v.String()}
 	case access.Unusable:
 		return nil, &Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyRetryAfter, Detail: v.String()}
 	}
--- a/node/era.go
+++ b/node/era.go
@@ -50,16 +50,24 @@
 // isSettled reports whether the store has had the time to get back what it lost when it came back from a copy. Until then
 // its newest state may be older than one that was in force. A node that starts learns of a return from others.
 func (d *duty) isSettled() bool {
+	return d.settlesIn() == 0
+}
+
+// settlesIn returns the time until then; 0 if the store has settled.
+func (d *duty) settlesIn() clock.Millis {
 	d.mu.Lock()
 	at := d.returnedAt
 	d.mu.Unlock()
 	if at == 0 && d.node.peers.isAlone() {
 		at = d.startedAt
 	}
-	return at == 0 || d.node.clock.Now()-at >= replica.ReturnGrace
+	if at == 0 {
+		return 0
+	}
+	return max(at+replica.ReturnGrace-d.node.clock.Now(), 0)
 }
 
-// kinds returns the kind and those that are delivered with it.
+// deliveredWith returns the kind and those that are delivered with it.
 func deliveredWith(k store.Kind) []store.Kind {
 	if k == store.State {
 		return []store.Kind{store.State, store.Evacuations}
--- a/node/store_returns_suspects_test.go
+++ b/node/store_returns_suspects_test.go
@@ -49,12 +49,12 @@
 // since.
 func TestClearedReportsStayClearedAsTheStoreReturns(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 3)
+	f := newFleet(t, 6) // some do not write rows
 	f.calm(1)
 	b := newCrashingTargets(f, 6)
 	f.ready(1, 6)
 	for i := range 4 {
-		f.call(f.nodes[i%3], http.MethodGet, crashPath, "", "")
+		f.call(f.nodes[i%6], http.MethodGet, crashPath, "", "")
 		time.Sleep(400 * time.Millisecond)
 	}
 	f.eventually("the crash reports are stored", func() bool { return f.suspectRows() > 0 })
@@ -76,7 +76,7 @@
 	held := f.logLines("event=request_refused", "is held back")
 	f.returnStore(kept, 300*time.Millisecond, func() {})
 	for i, end := 0, time.Now().Add(4*time.Second); time.Now().Before(end); i++ {
-		f.call(f.nodes[i%3], http.MethodGet, crashPath, fmt.Sprint("cleared", i), "")
+		f.call(f.nodes[i%6], http.MethodGet, crashPath, fmt.Sprint("cleared", i), "")
 		time.Sleep(20 * time.Millisecond)
 	}
 	if more := f.logLines("event=request_refused", "is held back") - held; more > 0 {
--- a/node/store_returns_test.go
+++ b/node/store_returns_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -328,3 +329,32 @@
 	}
 	f.awaitKeys(courierKey)
 }
+
+// TestRefusalsAsTheStoreReturnsTellWhenToComeBack has keys lapse while the store is away. Once it is back, a refusal names the time
+// after which the node knows whether they hold.
+func TestRefusalsAsTheStoreReturnsTellWhenToComeBack(t *testing.T) {
+	t.Parallel()
+	f := newFleetWith(t, 1, func(int) string { return "revoke = \"2s\"\n" })
+	f.target("i-1", "desk")
+	f.configureKeyed(3, workspaces)
+	f.ready(3, 1)
+	f.awaitKeys(shopKey)
+	kept := f.store.Copy()
+	f.returnStore(kept, 2500*time.Millisecond, func() {})
+	ask := func(id string) reply {
+		return f.callWith(f.nodes[0], "/get/", id, "Authorization", "Bearer "+shopKey)
+	}
+	f.eventually("the node hears of the return", func() bool { return f.logLines("event=store_returned") > 0 })
+	r := ask("early")
+	if r.status != http.StatusServiceUnavailable {
+		t.Fatalf("%d while the store may lack the newest keys", r.status)
+	}
+	wait, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Duration(wait * float64(time.Second)))
+	if again := ask("late"); again.status != http.StatusOK {
+		t.Errorf("%d after the %v s that the refusal named", again.status, wait)
+	}
+}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -236,3 +236,40 @@
 		l.Empty()
 	}
 }
+
+// TestClearedRequestIsNotListedAgainByACopy has the store come back from a copy whose row lists a request that was cleared since,
+// beside others. A row of after the writers' time counts again.
+func TestClearedRequestIsNotListedAgainByACopy(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(1000)
+	l := newHeldList(c)
+	key := quarantine.RowKey(testFingerprint)
+	row := l.Row(testFingerprint, nil)
+	l.MergeRow(key, row)
+	c.Advance(clock.Second)
+	l.Clear(testFingerprint)
+	l.MergeRow(key, &tlv1.Suspects{})
+	c.Advance(clock.Second)
+	settled := c.Now() + 2500
+	is.Equal(l.StoreRestored(settled), []quarantine.Fingerprint{testFingerprint})
+	l.MergeRow(key, row)
+	is.True(!l.Decide(testFingerprint).Held)
+	c.Advance(3 * clock.Second)
+	l.MergeRow(key, row)
+	is.True(l.Decide(testFingerprint).Held)
+}
+
+// TestReportsThatACopyLacksAreKept has the store come back from a copy whose row lacks a request.
+func TestReportsThatACopyLacksAreKept(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(1000)
+	l := newHeldList(c)
+	key := quarantine.RowKey(testFingerprint)
+	l.MergeRow(key, l.Row(testFingerprint, nil))
+	lost := l.StoreRestored(c.Now())
+	is.Equal(len(lost), 1)
+	l.MarkLost(lost)
+	l.MergeRow(key, &tlv1.Suspects{})
+	is.True(l.Decide(testFingerprint).Held)
+	is.Equal(l.Dirty(), lost)
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -72,6 +72,8 @@
 	{"targets name limits", limitTargets},
 	{"targets say they leave", sayLeaving},
 	{"targets ask for rest", askForRest},
+	{"store returns from a copy", returnStore},
+	{"targets send without end", sendWithoutEnd},
 }
 
 // plannedWork is what operators do, stops above all.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -69,6 +69,18 @@
 	return cfg
 }
 
+// Returns is a run in which the store comes back from copies, several times, beside faults of nodes, changes, and targets that
+// come and go.
+func Returns(seed uint64, binary, dir string) Config {
+	cfg := Usual(seed, binary, dir)
+	cfg.Crashers = 0
+	cfg.Only = []string{
+		"store returns from a copy", "store returns from a copy", "store returns from a copy", "store away for one", "kill", "freeze", "terminate",
+		"cut one way", "change", "changes in a row", "target leaves", "target joins", "target crashes",
+	}
+	return cfg
+}
+
 // faults are those that may happen.
 func (c Config) faults() (list []fault, err error) {
 	switch {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,6 +49,14 @@
 	{103, "a target that names one request a second had no work for 2 s while most nodes were frozen or stopped"},
 }
 
+// returning are run in CI: the store comes back from a copy, beside faults of nodes, changes, and targets that come and go.
+var returning = []struct {
+	seed uint64
+	why  string
+}{
+	{1, "the first of all"},
+}
+
 // scenarios are run in CI: what seeds rarely bring about, one fault again and again.
 var scenarios = []struct {
 	fault            string
@@ -60,6 +68,7 @@
 	{"targets name limits", 12, 0},
 	{"targets say they leave", 12, 0},
 	{"targets ask for rest", 12, 0},
+	{"targets send without end", 12, 0},
 }
 
 // TestSoak runs a few seeds, shorter than by hand.
@@ -98,6 +107,12 @@
 			judge(t, cfg)
 		})
 	}
+	for _, s := range returning {
+		t.Run(fmt.Sprint("returns ", s.seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, soak.Returns(s.seed, binary, t.TempDir()), 10)
+		})
+	}
 	for _, s := range scenarios {
 		t.Run(s.fault, func(t *testing.T) {
 			t.Parallel()
