An answer of 410 is an answer: the node counts as reached by the store again

A position of an earlier era than the store's is no longer asked for at all: all is read at once. The call that waits as the store settles ends 20 ms after, so that its answer counts.

--- a/node/duty.go
+++ b/node/duty.go
@@ -51,6 +51,8 @@
 	minGapDelay     clock.Millis = 100
 	maxGapDelay                  = 1 * clock.Second
 	maxGapDoublings              = 8
+	// settleMargin is how long after the store has settled a call ends that waits for changes, so that its answer counts.
+	settleMargin clock.Millis = 20
 	// sweepDelay is how long a node that does not watch waits for the watchers' reads of what is left of an earlier era.
 	sweepDelay = 2 * clock.Second
 	// sweepRankDelay is how much longer each node waits than the one ranked before it.
@@ -230,6 +232,7 @@
 			d.querySucceeded(k, next, at)
 		case errors.Is(err, store.ErrGap):
 			d.dropCursor(k)
+			d.storeAnswered(k)
 			d.node.log.WithFields(logrus.Fields{"event": "store_gap", "kind": k, "after": after, "error": err}).Warn()
 			sleep(ctx, d.gapDelay(k))
 		case errors.Is(err, store.ErrSuperseded):
@@ -256,6 +259,9 @@
 	if row := d.node.records.stateRow(); k == store.State && !d.rereadState && (m == 0 || replica.EraOf(uint64(m)) == replica.EraOf(row)) {
 		m = max(m, store.Cursor(row))
 	}
+	if replica.EraOf(uint64(m)) < d.node.platform.Era() {
+		return 0
+	}
 	return m
 }
 
@@ -297,7 +303,7 @@
 func (d *duty) longPollTime(k store.Kind) clock.Millis {
 	long := maxLongPoll(k) - d.age(k)
 	if settling := d.node.records.settling(k); settling > 0 {
-		long = min(long, settling)
+		long = min(long, settling+settleMargin)
 	}
 	return max(long, minLongPoll)
 }
@@ -415,13 +421,18 @@
 	d.confirmedAt[k], d.queriedAt[k] = max(d.confirmedAt[k], at), d.node.clock.Now()
 	d.mayHaveMissed = d.mayHaveMissed && k != store.State
 	d.mu.Unlock()
+	d.storeAnswered(k)
+	if d.sendsConfirms() {
+		d.confirmToHall()
+	}
+}
+
+// storeAnswered records that the store answered this node, whatever it said.
+func (d *duty) storeAnswered(k store.Kind) {
 	if d.hall.QuerySucceeded() {
 		d.node.metrics.storeAway(false)
 		d.node.log.WithFields(logrus.Fields{"event": "store_regained", "kind": k}).Warn()
 	}
-	if d.sendsConfirms() {
-		d.confirmToHall()
-	}
 }
 
 // queryFailed records that the store did not answer this node.
