A node that starts after the store's return proves no key by the copy

The two nodes had started after the return, so the era that they read was the first that they knew, and they took the copy's state for the newest. Ruled out: nodes that ran through the return, which waited.

An era above 0 tells that there has been a return, but not when. Era 0, as long as there was no return, costs nothing.

--- a/node/duty.go
+++ b/node/duty.go
@@ -96,10 +96,8 @@
 	differences map[store.Kind]difference
 	// rereadState is whether to read the state whole instead of following changes from the version held.
 	rereadState bool
-	// era is the newest era of the store that this node knows of, and returnedAt when it was first known if another one had
-	// been; else 0. The era is not known before eraKnown is set.
+	// era is the newest era of the store that this node knows of, and returnedAt when it learned of it; 0 if there was none.
 	era        uint64
-	eraKnown   bool
 	returnedAt clock.Millis
 	// gaps counts the questions in a row whose changes the store did not have, by kind.
 	gaps map[store.Kind]int
--- a/node/era.go
+++ b/node/era.go
@@ -15,24 +15,18 @@
 	}
 }
 
-// noteEra notes the store's era, as it named it to this node or to another one. A new one means that the store came back from
-// a copy.
+// noteEra notes the store's era, as it named it to this node or to another one. Above 0, a new one means that the store came
+// back from a copy; a node that has just started cannot tell when.
 func (d *duty) noteEra(era uint64) {
 	d.mu.Lock()
-	was, known := d.era, d.eraKnown
-	if known && era <= was {
+	was := d.era
+	if era <= was {
 		d.mu.Unlock()
 		return
 	}
-	d.era, d.eraKnown = era, true
-	if known {
-		d.returnedAt = d.node.clock.Now()
-	}
+	d.era, d.returnedAt = era, d.node.clock.Now()
 	d.mu.Unlock()
 	d.node.metrics.storeEra(era)
-	if !known {
-		return
-	}
 	d.node.log.WithFields(logrus.Fields{
 		"event": "store_returned", "era": era, "was": was, "targets": d.node.records.sets[store.Targets].Len(),
 		"state": d.node.records.sets[store.State].Newest(),
@@ -48,7 +42,7 @@
 }
 
 // isSettled reports whether the store has had the time to get back what it lost when it came back from a copy. Until then
-// its newest state may be older than one that was in force. A node that starts learns of a return from others.
+// its newest state may be older than one that was in force, and only what other nodes proved before holds.
 func (d *duty) isSettled() bool {
 	return d.settlesIn() == 0
 }
@@ -56,15 +50,11 @@
 // settlesIn returns the time until then; 0 if the store has settled.
 func (d *duty) settlesIn() clock.Millis {
 	d.mu.Lock()
-	at := d.returnedAt
-	d.mu.Unlock()
-	if at == 0 && d.node.peers.isAlone() {
-		at = d.startedAt
-	}
-	if at == 0 {
+	defer d.mu.Unlock()
+	if d.returnedAt == 0 {
 		return 0
 	}
-	return max(at+replica.ReturnGrace-d.node.clock.Now(), 0)
+	return max(d.returnedAt+replica.ReturnGrace-d.node.clock.Now(), 0)
 }
 
 // deliveredWith returns the kind and those that are delivered with it.
--- a/node/store_returns_test.go
+++ b/node/store_returns_test.go
@@ -360,3 +360,33 @@
 		t.Errorf("%d after the %v s that the refusal named", again.status, wait)
 	}
 }
+
+// TestNodeThatStartsAfterTheReturnProvesNoKeys starts a node while the store holds a copy in which a key is still there. It cannot
+// tell how long ago the store came back.
+func TestNodeThatStartsAfterTheReturnProvesNoKeys(t *testing.T) {
+	t.Parallel()
+	f := newFleetWith(t, 1, func(int) string { return "revoke = \"3s\"\n" })
+	f.target("i-1", "desk")
+	f.configureKeyed(3, workspaces)
+	f.ready(3, 1)
+	f.awaitKeys(shopKey)
+	n := f.nodes[0]
+	n.stop()
+	<-n.node.Done()
+	kept := f.store.Copy()
+	f.configureKeyed(4, workspaces[1:])
+	f.returnStore(kept, 100*time.Millisecond, func() {})
+	f.start(n)
+	back := time.Now()
+	for i := 0; time.Since(back) < lateRows; i++ {
+		if status := f.callWith(n, "/get/", fmt.Sprint("early-", i), "Authorization", "Bearer "+shopKey).status; status == http.StatusOK {
+			t.Fatalf("a key that was taken away opened %v after the return", time.Since(back))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.configureKeyed(4, workspaces[1:])
+	f.awaitKeys(courierKey)
+	if status := f.callWith(n, "/get/", "late", "Authorization", "Bearer "+shopKey).status; status != http.StatusUnauthorized {
+		t.Errorf("%d for a key that was taken away", status)
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -55,6 +55,7 @@
 	why  string
 }{
 	{1, "the first of all"},
+	{35, "nodes that had started after a return proved a key by the copy: it opened 3.5 s after it was taken away"},
 }
 
 // scenarios are run in CI: what seeds rarely bring about, one fault again and again.
