A refusal as the store returns names a time by which its answer has come

The time ended as the store settled, 8 ms of chance after it, and the answer that proves the keys comes 20 ms and its way later. 0.25 s are added.

--- a/node/admit.go
+++ b/node/admit.go
@@ -18,6 +18,8 @@
 	// unverifiedRetryAfter is the retry delay while keys cannot be verified. A confirmation from the store arrives within
 	// it, if the store can be reached.
 	unverifiedRetryAfter clock.Millis = 700
+	// settledAnswerTime is how long after the store has settled its next answer may take to come.
+	settledAnswerTime = settleMargin + 230
 	// minLimitRetryAfter and maxLimitRetryAfter bound the retry delay of callers over their limit.
 	minLimitRetryAfter clock.Millis = 200
 	maxLimitRetryAfter              = 3 * clock.Second
@@ -34,7 +36,10 @@
 	case access.Allowed:
 		return w, nil
 	case access.Unverified:
-		wait := max(n.duty.settlesIn(), unverifiedRetryAfter)
+		wait := unverifiedRetryAfter
+		if settling := n.duty.settlesIn(); settling > 0 {
+			wait = max(wait, settling+settledAnswerTime)
+		}
 		return nil, &Problem{Status: http.StatusServiceUnavailable, RetryAfter: jitter(wait), Detail: v.String()}
 	case access.Unusable:
 		return nil, &Problem{Status: http.StatusServiceUnavailable, RetryAfter: notReadyRetryAfter, Detail: v.String()}
