The test of a node that starts after the store's return asks the node

It looked for the state in a log that the node's earlier process had written too, so it could not fail for that; scripts/red showed it green with the protection taken away. It now asks the node for the route.

--- a/node/store_returns_test.go
+++ b/node/store_returns_test.go
@@ -175,7 +175,9 @@
 	late.stop()
 	<-late.node.Done()
 	f.start(late)
-	f.eventually("the node that started has the state of before the return", func() bool { return inForce(late, 4) })
+	f.eventually("the node that started has the state of before the return", func() bool {
+		return f.call(late, http.MethodGet, "/four/", "late", "").status == http.StatusOK
+	})
 	f.store.Configure(5, []string{"desk"}, desk("/get/", "/four/", "/five/")...)
 	first, _ := f.inForceAfter("/five/", time.Now(), 2*configApply)
 	for _, n := range f.nodes {
