The queue of a pool is a type of its own

The order of the waiting requests was spread over four functions of the pool. No change of behaviour: the tests of the pool pass unchanged.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -129,7 +129,7 @@
 			slots += p.concurrency(t, now)
 		}
 	}
-	return float64(p.waiting.Len()) * p.serviceTime / max(slots, 1)
+	return float64(p.waiting.len()) * p.serviceTime / max(slots, 1)
 }
 
 // waitAt estimates how long a request waits for a slot at the target, behind the requests queued here.
--- a/pool/explore.go
+++ b/pool/explore.go
@@ -100,7 +100,7 @@
 
 // lowCapacity reports whether too few slots are free at targets known to be healthy.
 func (p *Pool) lowCapacity(now clock.Millis) bool {
-	slots, used := 0, p.waiting.Len()
+	slots, used := 0, p.waiting.len()
 	for _, t := range p.order {
 		if !p.usable(t, now) {
 			continue
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -3,7 +3,6 @@
 package pool
 
 import (
-	"container/list"
 	"math/rand/v2"
 	"sync"
 
@@ -186,7 +185,7 @@
 	mu          sync.Mutex
 	targets     map[ident.Target]*target
 	order       []*target
-	waiting     *list.List
+	waiting     waitList
 	serviceTime float64
 	// failTime is the running mean of the time until a failure shows.
 	failTime  float64
@@ -215,7 +214,7 @@
 func New(t Tuning, c clock.Clock, r *rand.Rand, b *RetryBudget, onChange func(n ChangeKind, of ident.Hall), onEvent func(Event)) *Pool {
 	return &Pool{
 		clock: c, rand: r, tuning: t, budget: b, onChange: onChange, onEvent: onEvent,
-		targets: map[ident.Target]*target{}, waiting: list.New(), serviceTime: float64(t.FirstServiceTime), failTime: float64(t.FirstServiceTime),
+		targets: map[ident.Target]*target{}, waiting: newWaitList(), serviceTime: float64(t.FirstServiceTime), failTime: float64(t.FirstServiceTime),
 		ended: newWindow(t.TroubleWindow), started: newWindow(t.TroubleWindow), peerTallies: map[ident.Process]peerTally{},
 		limitShare: 1, formerStates: map[ident.Target]namedState{},
 		reach: newReach(),
@@ -273,7 +272,7 @@
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := Stats{Waiting: p.waiting.Len(), Targets: len(p.order), ServiceTime: clock.Millis(p.serviceTime)}
+	s := Stats{Waiting: p.waiting.len(), Targets: len(p.order), ServiceTime: clock.Millis(p.serviceTime)}
 	now := p.clock.Now()
 	for _, t := range p.order {
 		s.InFlight += t.localInFlight
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"container/list"
 	"context"
 	"time"
 
@@ -11,14 +10,6 @@
 // minRetryAfter is the least time that callers are told to wait.
 const minRetryAfter clock.Millis = 100
 
-type waiter struct {
-	request *Request
-	granted chan grant
-	element *list.Element
-	// mayOvercommit says that the waiter may be given to a target's own queue.
-	mayOvercommit bool
-}
-
 type grant struct {
 	waiter *waiter
 	lease  *Lease
@@ -48,7 +39,7 @@
 		return l, err
 	}
 	w := &waiter{request: a, granted: make(chan grant, 1)}
-	p.insert(w)
+	p.waiting.insert(w)
 	until := p.giveUpAt(a)
 	p.mu.Unlock()
 	return p.wait(ctx, w, until)
@@ -58,7 +49,7 @@
 func (p *Pool) TryAcquire(a *Request) *Lease {
 	p.mu.Lock()
 	var l *Lease
-	if p.isNext(a) {
+	if p.waiting.isNext(a) {
 		if c := p.choose(a, false); c.target != nil {
 			l = p.lease(c, p.clock.Now())
 		}
@@ -75,7 +66,7 @@
 	if !p.anyUsable(a) {
 		return nil, p.noTargetError(a)
 	}
-	if p.isNext(a) {
+	if p.waiting.isNext(a) {
 		if c := p.choose(a, false); c.target != nil {
 			return p.lease(c, p.clock.Now()), nil
 		}
@@ -83,12 +74,6 @@
 	return nil, p.checkDeadline(a)
 }
 
-// isNext reports whether no waiter goes before the request.
-func (p *Pool) isNext(a *Request) bool {
-	e := p.waiting.Front()
-	return e == nil || e.Value.(*waiter).request.Priority > a.Priority
-}
-
 func (p *Pool) anyUsable(a *Request) bool {
 	now := p.clock.Now()
 	for _, t := range p.order {
@@ -127,12 +112,7 @@
 // expectedWait estimates how long the request would wait for a slot at a target that is likely healthy, behind
 // those that go before it.
 func (p *Pool) expectedWait(a *Request) clock.Millis {
-	ahead := 1
-	for e := p.waiting.Front(); e != nil; e = e.Next() {
-		if e.Value.(*waiter).request.Priority <= a.Priority {
-			ahead++
-		}
-	}
+	ahead := p.waiting.ahead(a) + 1
 	now := p.clock.Now()
 	over, slots, throttled := 0, 0.0, true
 	for _, t := range p.order {
@@ -148,17 +128,6 @@
 	return clock.Millis(float64(ahead+over) * p.serviceTime / max(slots, 1))
 }
 
-// insert queues the waiter behind those of its priority.
-func (p *Pool) insert(w *waiter) {
-	for e := p.waiting.Back(); e != nil; e = e.Prev() {
-		if e.Value.(*waiter).request.Priority <= w.request.Priority {
-			w.element = p.waiting.InsertAfter(w, e)
-			return
-		}
-	}
-	w.element = p.waiting.PushFront(w)
-}
-
 // wait waits for a grant, for as long as a target can still respond before the deadline: that was until the given time when
 // the request was queued. After the share Tuning.Hold of the latency objective the request may go to a target's own queue.
 func (p *Pool) wait(ctx context.Context, w *waiter, until clock.Millis) (*Lease, error) {
@@ -189,7 +158,7 @@
 	w.mayOvercommit = true
 	var grants []grant
 	switch {
-	case w.element == nil:
+	case !w.isQueued():
 	case p.isThrottled(p.clock.Now()): // requests that have waited longer come first
 		grants = p.grantWaiting()
 	default:
@@ -220,12 +189,11 @@
 func (p *Pool) abandonWait(w *waiter, err error) (*Lease, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if w.element == nil {
+	if !w.isQueued() {
 		g := <-w.granted
 		return g.lease, g.err
 	}
-	p.waiting.Remove(w.element)
-	w.element = nil
+	p.waiting.remove(w)
 	return nil, err
 }
 
@@ -237,15 +205,16 @@
 func (p *Pool) grantWaiting() []grant {
 	var grants []grant
 	skipped := 0
-	for e := p.waiting.Front(); e != nil && skipped < maxSkipped; {
-		next := e.Next()
-		if g, granted := p.grantTo(e.Value.(*waiter)); granted {
+	for w := range p.waiting.all() {
+		if skipped == maxSkipped {
+			break
+		}
+		if g, granted := p.grantTo(w); granted {
 			grants = append(grants, g)
 			skipped = 0
 		} else {
 			skipped++
 		}
-		e = next
 	}
 	return grants
 }
@@ -261,7 +230,6 @@
 	default:
 		return grant{}, false
 	}
-	p.waiting.Remove(w.element)
-	w.element = nil
+	p.waiting.remove(w)
 	return g, true
 }
--- a/pool/throttled.go
+++ b/pool/throttled.go
@@ -136,7 +136,7 @@
 	p.drainIdleLimits(now)
 	changed := p.updateReach(now)
 	ready := p.reach.cutOff // those that wait are refused
-	if p.waiting.Len() > 0 {
+	if p.waiting.len() > 0 {
 		for _, t := range p.order {
 			ready = ready || t.isThrottled(now) && p.admits(t, now) || t.restUntil > p.wokeAt && !t.resting(now)
 		}
