The schedule of load reports is code of its own

Which nodes hear of a change in load, and when, was decided amid the sending of datagrams in node. As package report it does no I/O and can be played in virtual time. No change of behaviour; tests of node that count reports pass unchanged (TestLoad..., Report, Spread).

--- a/node/services.go
+++ b/node/services.go
@@ -16,14 +16,11 @@
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/logs"
 	"github.com/tinladder/tinladder/pool"
+	"github.com/tinladder/tinladder/report"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
 
 const (
-	// nearReportInterval is the minimum time between two load reports to the nodes of this hall that carry the service;
-	// farReportInterval is the same for those of other halls. Failures are reported at once.
-	nearReportInterval clock.Millis = 20
-	farReportInterval  clock.Millis = 500
 	// userRetention is how long after its last report a node receives evidence on a service's targets. At most maxUsers
 	// nodes besides the carriers do, the busiest first: occasional requests reach every node of the fleet, and each failure
 	// would otherwise be reported to all of them.
@@ -37,10 +34,9 @@
 	pool  *pool.Pool
 	tally tally
 
-	mu             sync.Mutex
-	lastNearReport clock.Millis
-	lastFarReport  clock.Millis
-	flushScheduled bool
+	mu sync.Mutex
+	// reports is the schedule of load reports to other nodes.
+	reports *report.Schedule
 	// users are the other nodes that reported requests for the service.
 	users map[ident.Process]usage
 	// routeStats are the durations of requests, by route.
@@ -144,7 +140,7 @@
 func (s *services) add(name string) *service {
 	n := s.node
 	r := n.settings().Retries
-	svc := &service{name: name, users: map[ident.Process]usage{}, routeStats: map[string]*routeStats{}, sharers: assign.NewSharers()}
+	svc := &service{name: name, users: map[ident.Process]usage{}, routeStats: map[string]*routeStats{}, sharers: assign.NewSharers(), reports: report.New()}
 	b := pool.NewRetryBudget(n.clock, newRand(), r.Ratio*pool.RatioShare, 0, r.Window.Millis())
 	b.SetSlack(s.slackShare(svc, true))
 	svc.pool = pool.New(n.tuning, n.clock, newRand(), b, func(w pool.ChangeKind, of ident.Hall) { s.report(svc, w, of) },
@@ -367,69 +363,45 @@
 	return names
 }
 
-// report sends this node's view of the service to other nodes: its load to the carriers of this hall, at most once per
-// nearReportInterval; the load of a target in another hall to that hall's carriers too, at once; evidence to all users, at once.
+// report sends this node's view of the service to the other nodes that are due to hear of a change.
 func (s *services) report(svc *service, kind pool.ChangeKind, hall ident.Hall) {
-	now := s.node.clock.Now()
 	svc.mu.Lock()
-	if wait := nearReportInterval - (now - svc.lastNearReport); kind == pool.LocalLoad && wait > 0 {
-		if !svc.flushScheduled {
-			svc.flushScheduled = true
-			time.AfterFunc(wait.Duration(), func() { s.flush(svc) })
-		}
-		svc.mu.Unlock()
-		return
-	}
-	to := sameHallCarriers
-	switch {
-	case kind == pool.HealthEvidence:
-		to, svc.lastFarReport = allUsers, now
-	case now-svc.lastFarReport >= farReportInterval:
-		to, svc.lastFarReport = allCarriers, now
-	case kind == pool.RemoteLoad:
-		to = targetHallCarriers
-	}
-	svc.lastNearReport = now
+	to, later := svc.reports.Change(kind, s.node.clock.Now())
 	svc.mu.Unlock()
-	s.send(svc, to, hall)
+	s.sendOrDelay(svc, to, later, hall)
 }
 
-// An audience is the set of nodes that receive a report.
-type audience int
-
-// Audiences, each with the ones before it.
-const (
-	// sameHallCarriers are the nodes of this hall that carry the service.
-	sameHallCarriers audience = iota
-	// targetHallCarriers adds the carriers of the target's hall. Other users of the target learn its load from periodic reports.
-	targetHallCarriers
-	// allCarriers are those of all halls.
-	allCarriers
-	// allUsers adds the nodes that used the service recently.
-	allUsers
-)
+// sendOrDelay sends a report, or has one sent later; neither if the wait is 0.
+func (s *services) sendOrDelay(svc *service, to report.Audience, later clock.Millis, hall ident.Hall) {
+	switch {
+	case to != report.Nobody:
+		s.send(svc, to, hall)
+	case later > 0:
+		time.AfterFunc(later.Duration(), func() { s.reportDelayed(svc) })
+	}
+}
 
-// flush sends a delayed load report.
-func (s *services) flush(svc *service) {
+// reportDelayed sends a delayed report of load to this hall.
+func (s *services) reportDelayed(svc *service) {
 	svc.mu.Lock()
-	svc.flushScheduled = false
+	to, later := svc.reports.Delayed(s.node.clock.Now())
 	svc.mu.Unlock()
-	s.report(svc, pool.LocalLoad, s.node.hall())
+	s.sendOrDelay(svc, to, later, s.node.hall())
 }
 
-func (s *services) send(svc *service, to audience, hall ident.Hall) {
+func (s *services) send(svc *service, to report.Audience, hall ident.Hall) {
 	n := s.node
 	var r *tlv1.Report
 	var members []*tlv1.Member
 	switch to {
-	case sameHallCarriers:
+	case report.SameHall:
 		r, members = svc.pool.ReportNearby(n.hall()), n.carriers.inOwnHall(svc.name)
-	case targetHallCarriers:
+	case report.TargetHall:
 		r = svc.pool.ReportNearby(hall)
 		members = slices.Concat(n.carriers.inOwnHall(svc.name), n.carriers.inHall(n.carriers.groupOf(svc.name), hall))
-	case allCarriers:
+	case report.AllCarriers:
 		r, members = svc.pool.Report(false), n.carriers.all(svc.name)
-	case allUsers:
+	case report.AllUsers:
 		r, members = svc.pool.Report(false), s.withUsers(svc, n.carriers.all(svc.name))
 	}
 	if r == nil {
@@ -476,13 +448,10 @@
 	now := s.node.clock.Now()
 	for _, svc := range s.all() {
 		svc.mu.Lock()
-		due := now-svc.lastFarReport >= farReportInterval
-		if due {
-			svc.lastFarReport = now
-		}
+		due := svc.reports.Periodic(now)
 		svc.mu.Unlock()
 		if due {
-			s.send(svc, allCarriers, s.node.hall())
+			s.send(svc, report.AllCarriers, s.node.hall())
 		}
 	}
 }
