The retry budget goes to the most urgent attempts while it is short

Cause: RetryBudget.Allow spends in the order of coming, so when all targets turn half away urgent requests and others lose alike. On with Tuning.RetryOrder. It only denies: Allow and its bound are as before.

--- a/pool/budget.go
+++ b/pool/budget.go
@@ -38,6 +38,8 @@
 	requests, retries []clock.Millis
 	// made and denied count since the start.
 	made, denied uint64
+	// order decides whose turn it is while the budget is short; nil if attempts get it in the order of coming.
+	order *retryOrder
 }
 
 // A slackUse is an amount of slack that was used.
@@ -93,6 +95,9 @@
 	b.requests = append(b.requests, now)
 	b.recent = append(b.recent, now)
 	b.earned += b.ratio
+	if b.order != nil {
+		b.order.addRequests(1, now)
+	}
 }
 
 // RemoveRequest takes back the latest AddRequest, for a request that another node counts.
@@ -102,6 +107,9 @@
 	b.requests = b.requests[:max(len(b.requests)-1, 0)]
 	b.recent = b.recent[:max(len(b.recent)-1, 0)]
 	b.earned = max(b.earned-b.ratio, -maxDebt)
+	if b.order != nil {
+		b.order.addRequests(-1, b.clock.Now())
+	}
 }
 
 // Allow reports whether another attempt may be made, and counts it if so.
@@ -110,6 +118,86 @@
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	b.trim(now)
+	return b.allow(now)
+}
+
+// A Permit says whether a further attempt may be made.
+type Permit int
+
+// Permits.
+const (
+	// Allowed attempts may be made; the budget counts them.
+	Allowed Permit = iota
+	// DeniedForLack means that nothing is left of the budget.
+	DeniedForLack
+	// DeniedForOrder means that the budget is short, and needed for others.
+	DeniedForOrder
+)
+
+func (p Permit) String() string {
+	return [...]string{"allowed", "lack", "order"}[p]
+}
+
+// AllowInOrder says whether the attempt may be made, and counts it if so. While the budget is short it goes to the most
+// urgent attempts, if the tuning of the budget's pool says so.
+func (b *RetryBudget) AllowInOrder(a FurtherAttempt) Permit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	b.trim(now)
+	switch {
+	case b.order != nil && !b.order.allows(a, b.room(now), now):
+		b.denied++
+		return DeniedForOrder
+	case !b.allow(now):
+		return DeniedForLack
+	}
+	return Allowed
+}
+
+// Short reports whether the budget is short for what is asked of it in order. It never is if attempts get it in the order of
+// coming.
+func (b *RetryBudget) Short() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	b.trim(now)
+	return b.short(now)
+}
+
+func (b *RetryBudget) short(now clock.Millis) bool {
+	if b.order == nil {
+		return false
+	}
+	b.order.fade(now)
+	return b.order.short(b.room(now))
+}
+
+// room returns what the budget has, for the order.
+func (b *RetryBudget) room(now clock.Millis) room {
+	return room{ratio: b.ratio, lapse: clock.Millis(savedShare * float64(b.window)), saved: b.left(now) + b.remainder, slack: b.slackLeft(now)}
+}
+
+// keepOrder has attempts get the budget by their rank while it is short.
+func (b *RetryBudget) keepOrder() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.order == nil {
+		b.order = &retryOrder{at: b.clock.Now()}
+	}
+}
+
+// recordAttempt records how an attempt ended.
+func (b *RetryBudget) recordAttempt(o Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.order != nil && o != Abandoned {
+		b.order.addAttempt(o == Good, b.clock.Now())
+	}
+}
+
+// allow takes one attempt of the budget, and reports whether it has one.
+func (b *RetryBudget) allow(now clock.Millis) bool {
 	if left := b.left(now); left < 1 {
 		b.remainder += max(left, 0)
 		b.take(max(left, 0), now)
@@ -185,6 +273,13 @@
 	Slack             float64
 	// Made and Denied count the further attempts that were allowed and denied since the start.
 	Made, Denied uint64
+	// Short says that the budget is short, and Chance which share of the latest attempts got a good response. Of those
+	// denied, DeniedForOrder were denied for their order, DeniedByRank says which, and OtherDenied counts those of ranks
+	// that are no longer told apart.
+	Short                       bool
+	Chance                      float64
+	DeniedForOrder, OtherDenied uint64
+	DeniedByRank                []RankDenied
 }
 
 // Stats returns the budget's state.
@@ -193,7 +288,11 @@
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	b.trim(now)
-	return BudgetStats{Requests: len(b.requests), Retries: len(b.retries), Slack: b.slackLeft(now), Made: b.made, Denied: b.denied}
+	s := BudgetStats{Requests: len(b.requests), Retries: len(b.retries), Slack: b.slackLeft(now), Made: b.made, Denied: b.denied}
+	if o := b.order; o != nil {
+		s.Short, s.Chance, s.DeniedForOrder, s.OtherDenied, s.DeniedByRank = b.short(now), o.chance(), o.denied, o.otherDenied, o.deniedByRank()
+	}
+	return s
 }
 
 // trailingMin has the least of a value within a time that ends now.
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -103,6 +103,9 @@
 	l.done = true
 	l.target.localInFlight--
 	l.target.markLoadChanged()
+	if p.tuning.RetryOrder {
+		p.budget.recordAttempt(o)
+	}
 	urgent := p.recordOutcome(l, o, closing)
 	urgent = p.applyWordOfLeaving(l, o) || urgent
 	p.applyRest(l, o)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -212,6 +212,9 @@
 
 // New returns a pool without targets.
 func New(t Tuning, c clock.Clock, r *rand.Rand, b *RetryBudget, onChange func(n ChangeKind, of ident.Hall), onEvent func(Event)) *Pool {
+	if t.RetryOrder {
+		b.keepOrder()
+	}
 	return &Pool{
 		clock: c, rand: r, tuning: t, budget: b, onChange: onChange, onEvent: onEvent,
 		targets: map[ident.Target]*target{}, waiting: newWaitList(), serviceTime: float64(t.FirstServiceTime), failTime: float64(t.FirstServiceTime),
@@ -231,6 +234,20 @@
 	return p.budget
 }
 
+// AllowRetry says whether the request may be tried again, as the retry budget has it, and counts the attempt if so.
+func (p *Pool) AllowRetry(a *Request) Permit {
+	loss := LosesAnswer
+	if a.Objective > 0 && p.clock.Now()+p.ServiceTime() > a.Began+a.Objective {
+		loss = LosesLateAnswer
+	}
+	return p.budget.AllowInOrder(FurtherAttempt{Priority: a.Priority, Loss: loss})
+}
+
+// AllowHedge is AllowRetry for a second attempt beside one that goes on.
+func (p *Pool) AllowHedge(a *Request) Permit {
+	return p.budget.AllowInOrder(FurtherAttempt{Priority: a.Priority, Loss: LosesTime})
+}
+
 // SetTargets replaces the targets, and keeps what is known of those that stay.
 func (p *Pool) SetTargets(targets []Target) {
 	p.mu.Lock()
