Nodes ask for further attempts by rank, and say what they deny

Cause: retries and hedges asked the budget without saying whose they are. Change: allowRetry and hedge ask through the pool; a hedge that was denied for its order does not ask again while the budget is short. The retry_budget line has what was denied by rank, tinladder_further_denied_total why.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -82,6 +82,8 @@
 	passedTo string
 	// lastShed is set if the last target refused the request without running it.
 	lastShed bool
+	// hedgeDenied is set if a hedge of the attempt under way was denied for its order.
+	hedgeDenied bool
 }
 
 // newExchange returns the exchange of a request. Its time-out counts from its arrival, so it includes the wait for the first
@@ -374,7 +376,8 @@
 
 // allowRetry takes one attempt from the retry budget, and reports whether the budget allows it.
 func (x *exchange) allowRetry() bool {
-	allowed := x.service.pool.RetryBudget().Allow()
-	x.node.metrics.retried(allowed)
-	return allowed
+	p := x.service.pool.AllowRetry(x.poolRequest())
+	x.node.metrics.retried(p == pool.Allowed)
+	x.node.metrics.furtherAttempt(p)
+	return p == pool.Allowed
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -203,6 +203,13 @@
 	}
 }
 
+// furtherAttempt counts denied retries and hedges, by why they were denied.
+func (m *nodeMetrics) furtherAttempt(p pool.Permit) {
+	if p != pool.Allowed {
+		m.set.GetOrCreateCounter(fmt.Sprintf("tinladder_further_denied_total{why=%q}", p)).Inc()
+	}
+}
+
 // hedged counts hedged attempts.
 func (m *nodeMetrics) hedged() {
 	m.hedges.Inc()
--- a/node/race.go
+++ b/node/race.go
@@ -57,6 +57,7 @@
 		x.usedLease = e.lease
 		return e.response, e.err
 	}
+	x.hedgeDenied = false
 	r := &parallelAttempts{exchange: x, ends: make(chan attemptEnd, attempt.MaxTargets)}
 	r.start(ctx, l)
 	hedgeTimer := time.NewTimer(x.stats.hedgeDelay(l.ServiceTime()).Duration())
@@ -94,13 +95,19 @@
 	if b.Remaining() < hedgeReserve || x.singleTarget() { // similar requests may have crashed targets since this one began
 		return nil
 	}
+	if x.hedgeDenied && b.Short() {
+		return nil
+	}
 	a := x.poolRequest()
 	a.MayRetry = false
 	l := x.service.pool.TryAcquire(a)
 	if l == nil {
 		return nil
 	}
-	if !b.Allow() {
+	permit := x.service.pool.AllowHedge(a)
+	x.node.metrics.furtherAttempt(permit)
+	if permit != pool.Allowed {
+		x.hedgeDenied = permit == pool.DeniedForOrder
 		l.Done(pool.Abandoned, false)
 		return nil
 	}
--- a/node/retries.go
+++ b/node/retries.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -64,11 +65,27 @@
 		if !svc.budgetLog.changed(b, now) {
 			continue
 		}
-		s.node.log.WithFields(logrus.Fields{
+		f := logrus.Fields{
 			"event": "retry_budget", "service": svc.name, "requests": b.Requests, "retries": b.Retries, "denied_total": b.Denied, "made_total": b.Made,
 			"slack": fmt.Sprintf("%.2f", b.Slack), "sharer": svc.holdsShare.Load(), "running_ms": now - s.node.duty.startedAt,
-		}).Info()
+		}
+		if b.DeniedForOrder > 0 {
+			f["denied_for_order"], f["order_denied"], f["short"], f["chance"] = b.DeniedForOrder, orderDenied(b), b.Short, fmt.Sprintf("%.2f", b.Chance)
+		}
+		s.node.log.WithFields(f).Info()
+	}
+}
+
+// orderDenied returns how many further attempts were denied for their order, by rank.
+func orderDenied(b pool.BudgetStats) string {
+	var list []string
+	for _, d := range b.DeniedByRank {
+		list = append(list, fmt.Sprintf("%d/%v:%d", d.Priority, d.Loss, d.Denied))
+	}
+	if b.OtherDenied > 0 {
+		list = append(list, fmt.Sprint("other:", b.OtherDenied))
 	}
+	return strings.Join(list, " ")
 }
 
 // limitPeakNodesWindow is the same period for limits. It is longer, since a network partition may last for minutes.
