--- a/proof/replay_test.go
+++ b/proof/replay_test.go
@@ -27,7 +27,10 @@
 	// Name says what the load is, and Without which mechanism answers it: without it the replay must do worse.
 	Name, Without string
 	// With names the optional mechanisms that are on.
-	With    []string
+	With []string
+	// MayFall is by how much the share served may be below that without the mechanism, in the same plays; 0 means that
+	// they are not compared.
+	MayFall float64
 	Seconds float64
 	Nodes   int
 	Targets int
@@ -343,7 +346,7 @@
 		if out != pool.Unreachable && out != pool.Shed {
 			at.Ran++
 		}
-		step := plan.Next(end, at, pl.RetryBudget().Allow)
+		step := plan.Next(end, at, func() bool { return pl.AllowRetry(ask) == pool.Allowed })
 		switch {
 		case step == attempt.Retry:
 			o.take()
@@ -495,8 +498,20 @@
 			if r.Without == "" {
 				return
 			}
-			less := r.play(t, r.tuning(t, r.Without), 1)
+			seeds := 1
+			if r.MayFall > 0 {
+				seeds = replaySeeds
+			}
+			less := r.play(t, r.tuning(t, r.Without), seeds)
 			t.Logf("without %s: %v", r.Without, less)
+			for _, name := range slices.Sorted(maps.Keys(less.byKind)) {
+				t.Logf("without it, %s: served %.3f", name, less.byKind[name].share())
+			}
+			fall := share(less.served, less.asked) - share(got.served, got.asked)
+			t.Logf("served %.4f less than without it", fall)
+			if r.MayFall > 0 && fall > r.MayFall {
+				t.Errorf("served %.4f less than without it, at most %.4f is due to the reserve", fall, r.MayFall)
+			}
 			misses := e.misses(less)
 			t.Log("without it: ", misses)
 			if len(misses) == 0 {
