The work of a route's requests is learned apart from the speeds of its targets

A route's median time holds the speeds of the targets that it goes to: long requests that go to slow targets only would make these look usual. So each time is divided by its target's factor first. A time-out or a lost race of a target that is known to be slow is held against it only from twice its own usual time on, or beyond nine in ten by its factor.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// timeoutBlameFactor times the service time must have passed for a time-out to count against the target.
+	// timeoutBlameFactor times the time that the target usually needs must have passed for a time-out to count against the target.
 	timeoutBlameFactor = 2
 )
 
@@ -172,7 +172,7 @@
 	return &pool.Request{
 		Repeatable: x.route.Repeatable, MayRetry: x.policy().CanHedge(x.ran),
 		Priority: x.priority(), Began: x.began, Objective: x.route.Objective, Deadline: x.deadline, Exclude: x.tried,
-		Bytes: x.stats.meanSize(), Halls: x.allowedHalls, Workspace: x.workspaceName(),
+		Bytes: x.stats.meanSize(), Halls: x.allowedHalls, Workspace: x.workspaceName(), Work: x.stats.usualWork(),
 	}
 }
 
@@ -303,10 +303,10 @@
 	case errors.Is(err, forward.ErrRequestBody):
 		return pool.Abandoned // not the target's fault
 	case err != nil && errors.Is(context.Cause(ctx), errLostRace):
-		return x.stats.lostRaceOutcome(took)
+		return x.stats.lostRaceOutcome(took, l.Slower())
 	case err != nil && errors.Is(context.Cause(ctx), errNodeStopping):
 		return pool.Abandoned
-	case timeout && took < l.ServiceTime()*timeoutBlameFactor:
+	case timeout && took < l.UsualTime()*timeoutBlameFactor:
 		return pool.Abandoned // too little time was left for the target to respond
 	case timeout:
 		return pool.Late
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -88,6 +88,7 @@
 	m.set.NewGauge("tinladder_targets", func() float64 { return float64(n.services.count()) })
 	m.set.NewGauge("tinladder_targets_ready", sum(func(s pool.Stats) int { return s.Targets }))
 	m.set.NewGauge("tinladder_targets_usable", sum(func(s pool.Stats) int { return s.Usable }))
+	m.set.NewGauge("tinladder_targets_slow", sum(func(s pool.Stats) int { return s.Slow }))
 	m.set.NewGauge("tinladder_requests_suspected", func() float64 { return float64(len(n.suspects.list.All())) })
 	m.set.NewGauge("tinladder_members", func() float64 { return float64(len(n.members.Live())) })
 	m.set.NewGauge("tinladder_log_lines_dropped", func() float64 { return float64(n.log.Dropped()) })
--- a/node/route_stats.go
+++ b/node/route_stats.go
@@ -7,6 +7,7 @@
 	"github.com/tinladder/tinladder/forward"
 	"github.com/tinladder/tinladder/latency"
 	"github.com/tinladder/tinladder/pool"
+	"github.com/tinladder/tinladder/pool/speed"
 )
 
 // routeStats tracks the latency and size of the requests of one route to one service.
@@ -15,6 +16,7 @@
 
 	mu        sync.Mutex
 	meanBytes float64
+	work      speed.Work
 }
 
 func newRouteStats(c clock.Clock) *routeStats {
@@ -48,6 +50,20 @@
 	p.meanBytes += (float64(n) - p.meanBytes) / bytesSmoothing
 }
 
+// usualWork returns how long the median target usually takes for a request; 0 if that is not known.
+func (p *routeStats) usualWork() clock.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.work.Usual()
+}
+
+// addWork adds how long the median target would have taken for a request, in milliseconds.
+func (p *routeStats) addWork(millis float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.work.Add(millis)
+}
+
 // hedgeDelay returns how long to wait for an attempt before a second one is made in parallel.
 func (p *routeStats) hedgeDelay(usual clock.Millis) clock.Millis {
 	if q, known := p.track.Quantile(hedgeQuantile); known {
@@ -62,14 +78,17 @@
 		return
 	}
 	p.track.Add(took)
+	if ms := e.lease.MedianTime(); ms > 0 {
+		p.addWork(ms)
+	}
 	p.addSize(max(r.Length, 0) + int64(len(e.response.Body)) + max(e.response.Length, 0))
 }
 
 // lostRaceOutcome returns the outcome of an attempt that was canceled since another one responded first. It counts
-// against the target if most responses take less time.
-func (p *routeStats) lostRaceOutcome(took clock.Millis) pool.Outcome {
+// against the target if most responses take less time; slower is how many times longer the target is known to take.
+func (p *routeStats) lostRaceOutcome(took clock.Millis, slower float64) pool.Outcome {
 	q, known := p.track.Quantile(hedgeQuantile)
-	if !known || took < q {
+	if !known || float64(took) < float64(q)*slower {
 		return pool.Abandoned
 	}
 	p.track.Add(took)
--- a/node/services.go
+++ b/node/services.go
@@ -625,13 +625,16 @@
 		s.node.reach.closeIdle(svc)
 	}
 	s.node.metrics.belief(e.Kind)
-	if e.By == "" || s.peerBeliefLines.Allow() {
+	ofSpeed := e.Kind == pool.TargetSlow || e.Kind == pool.TargetUsual // by the samples of all nodes
+	if e.By == "" && !ofSpeed || s.peerBeliefLines.Allow() {
 		f := logrus.Fields{"event": e.Kind, "service": svc.name, "target": e.Target, "by": e.By}
 		switch e.Kind {
 		case pool.TargetLimited:
 			f["per_second"] = e.PerSecond
 		case pool.TargetRests:
 			f["rest_ms"] = e.Rest
+		case pool.TargetSlow, pool.TargetUsual:
+			f["slower"] = fmt.Sprintf("%.2f", e.Slower)
 		case pool.TargetUnlimited, pool.TargetsCutOff, pool.TargetsReached:
 		default:
 			f["failing"] = fmt.Sprintf("%.2f", e.Failing)
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -38,7 +38,9 @@
 	// stated is what the response says of the target's rate limit; nil if that is not known.
 	stated *statedLimit
 	// work is that of the request.
-	work            clock.Millis
+	work clock.Millis
+	// medianTime is how long the median target would have taken.
+	medianTime      float64
 	hall            ident.Hall
 	otherHall, done bool
 	// limitProbe says that the target limits its requests and that this node has no share of them.
--- a/pool/speed/speed.go
+++ b/pool/speed/speed.go
@@ -150,9 +150,13 @@
 }
 
 // Relative returns how many times longer the target takes than the median target, in octaves, as far as the samples carry
-// it.
-func (e Estimate) Relative(median float64) float64 {
-	return limit((e.octaves-median)*e.weight/(e.weight+prior), maxOctaves)
+// it, and as they say.
+func (e Estimate) Relative(median float64) (expected, seen float64) {
+	if e.weight == 0 {
+		return 0, 0
+	}
+	seen = limit(e.octaves-median, maxOctaves)
+	return seen * e.weight / (e.weight + prior), seen
 }
 
 // Median returns the median of the targets that have been seen, in octaves, and 0 if there are none. It uses buf for its
--- a/pool/speeds.go
+++ b/pool/speeds.go
@@ -23,9 +23,9 @@
 type targetSpeed struct {
 	own    speed.Mean
 	others speed.Views
-	// octaves and factor are how many times longer the target takes than the median target, and samples how many
-	// samples of all nodes stand behind that.
-	octaves, factor, samples float64
+	// factor is how many times longer than the median target the target is expected to take, seen the same without the
+	// allowance for few samples, in octaves, and samples how many samples of all nodes stand behind that.
+	factor, seen, samples float64
 	// slow says that the target was reported as slow.
 	slow bool
 }
@@ -62,17 +62,22 @@
 // attempts that were given up did, one that hangs would count as slow, and its silence would no longer be held against it.
 func (p *Pool) addTime(l *Lease, took float64, now clock.Millis) {
 	t := l.target
-	if !p.tuning.TargetSpeeds || l.start < t.WarmAt {
+	if l.start < t.WarmAt {
 		return
 	}
+	l.medianTime = took
+	if !p.tuning.TargetSpeeds {
+		return
+	}
+	l.medianTime = took / speed.Ratio(t.speed.seen)
 	octaves := speed.Octaves(took, p.speeds.medianTime)
 	if l.work > 0 {
 		octaves = speed.Octaves(took, float64(l.work))
-		p.speeds.pace.Add(octaves-t.speed.octaves, now)
+		p.speeds.pace.Add(octaves-t.speed.seen, now)
 		p.speeds.paceFactor = speed.Ratio(p.speeds.pace.Octaves())
 		octaves -= p.speeds.pace.Octaves()
 	}
-	p.speeds.medianTime += (took/t.speed.factor - p.speeds.medianTime) / smoothing
+	p.speeds.medianTime += (l.medianTime - p.speeds.medianTime) / smoothing
 	t.speed.own.Add(octaves, now)
 }
 
@@ -91,8 +96,9 @@
 	median, s.buf = speed.Median(s.estimates, s.buf)
 	for i, t := range p.order {
 		e := s.estimates[i]
-		t.speed.octaves, t.speed.samples = e.Relative(median), e.Samples()
-		t.speed.factor = speed.Ratio(t.speed.octaves)
+		var expected float64
+		expected, t.speed.seen = e.Relative(median)
+		t.speed.factor, t.speed.samples = speed.Ratio(expected), e.Samples()
 		p.noteSlow(t)
 	}
 }
@@ -129,6 +135,12 @@
 	return sum
 }
 
+// MedianTime returns how long the median target would have taken for the lease's request, in milliseconds; 0 unless the
+// attempt has ended with a good response of a target that has warmed up.
+func (l *Lease) MedianTime() float64 {
+	return l.medianTime
+}
+
 // UsualTime returns how long the target is expected to take for the lease's request, and at least the running mean of all
 // targets.
 func (l *Lease) UsualTime() clock.Millis {
--- a/proof/replay_test.go
+++ b/proof/replay_test.go
@@ -19,6 +19,7 @@
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/pool"
+	"github.com/tinladder/tinladder/pool/speed"
 )
 
 // A replay is a load pattern, as a file of testdata/load has it: one service, its nodes and what happens to them, in
@@ -189,6 +190,8 @@
 	alive context.Context
 	kill  context.CancelFunc
 	got   *replayed
+	// works is what each node has learned of each kind's work; nil if it is told.
+	works map[string]*speed.Work
 }
 
 func newPlayer(r replay, t pool.Tuning, seed uint64) *player {
@@ -310,6 +313,23 @@
 	return attempt.Result{Answered: true}, pool.Good
 }
 
+// work returns what the node knows of the work of requests of the kind. It learns from a response's time, unless that is 0.
+func (p *player) work(node int, k replayKind, millis float64) clock.Millis {
+	p.pmu.Lock()
+	defer p.pmu.Unlock()
+	if p.works == nil {
+		return k.Takes
+	}
+	name := fmt.Sprint(node, k.Name)
+	if p.works[name] == nil {
+		p.works[name] = &speed.Work{}
+	}
+	if millis > 0 {
+		p.works[name].Add(millis)
+	}
+	return p.works[name].Usual()
+}
+
 // request has a node serve a request as the daemon does, but for hedges.
 func (p *player) request(node int, k replayKind, o turn, r *rand.Rand) {
 	o.take()
@@ -326,7 +346,7 @@
 	now := clock.NewSystem().Now()
 	ask := &pool.Request{
 		Repeatable: k.Repeatable, Priority: k.Rank, Began: now, Objective: k.Aim, Deadline: now + k.Deadline,
-		Workspace: ident.Workspace(k.Workspace), Work: k.Takes,
+		Workspace: ident.Workspace(k.Workspace), Work: p.work(node, k, 0),
 	}
 	for {
 		ask.MayRetry = plan.CanHedge(at.Ran)
@@ -339,6 +359,7 @@
 		ask.Exclude = append(ask.Exclude, l.Target)
 		end, out := p.send(ctx, node, k, l, o, r)
 		l.Done(out, false)
+		p.work(node, k, l.MedianTime())
 		at.Tried, at.TimeLeft, at.ServiceTime = len(ask.Exclude), k.Deadline-clock.FromDuration(time.Since(began)), pl.ServiceTime()
 		if out != pool.Unreachable && out != pool.Shed {
 			at.Ran++
--- a/proof/speeds_test.go
+++ b/proof/speeds_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/pool"
+	"github.com/tinladder/tinladder/pool/speed"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
 
@@ -46,10 +47,13 @@
 func TestSpeedsAreKnownNearlyAsWellAsIfTold(t *testing.T) {
 	list := loads(t)
 	r := list[slices.IndexFunc(list, func(r replay) bool { return r.Without == "target-speeds" })]
-	play := func(told bool, tuning pool.Tuning) float64 {
+	play := func(told, learns bool, tuning pool.Tuning) float64 {
 		sum := newReplayed()
 		for _, x := range plays(t, replaySeeds, func(seed uint64) *replayed {
 			p := newPlayer(r, tuning, seed+1)
+			if learns {
+				p.works = map[string]*speed.Work{}
+			}
 			if told {
 				go p.tellSpeeds()
 			}
@@ -59,17 +63,18 @@
 		}) {
 			sum.add(x)
 		}
-		t.Logf("told %v: %v", told, sum)
+		t.Logf("speeds told %v, work learned %v: %v", told, learns, sum)
 		for _, k := range r.Kinds {
 			t.Logf("%s: in aim %.3f", k.Name, sum.kind(k.Name).inAimShare())
 		}
 		return share(sum.inAim, sum.asked)
 	}
-	known := play(true, r.tuning(t))
-	estimated := play(false, r.tuning(t))
-	before := play(false, r.tuning(t, r.Without))
-	t.Logf("in aim: speeds told %.3f, estimated %.3f, without %.3f", known, estimated, before)
-	if estimated < known-speedLoss {
-		t.Errorf("%.3f in aim, with the speeds told %.3f", estimated, known)
+	known := play(true, false, r.tuning(t))
+	estimated := play(false, false, r.tuning(t))
+	before := play(false, false, r.tuning(t, r.Without))
+	learned := play(false, true, r.tuning(t))
+	t.Logf("in aim: speeds told %.3f, estimated %.3f, with the work learned too %.3f, without %.3f", known, estimated, learned, before)
+	if min(estimated, learned) < known-speedLoss {
+		t.Errorf("%.3f in aim, %.3f with the work learned; with the speeds told %.3f", estimated, learned, known)
 	}
 }
