Differences of speed that may be chance decide nothing; estimates of unused targets lapse

Where a request has little time to spare, five hundredths of a difference moved more than two requests from one target to others. A target with many samples of many nodes took 15 s to drift back: half of an estimate is now forgotten each 2 s without a request, however many samples stand behind it.

--- a/pool/speed/speed.go
+++ b/pool/speed/speed.go
@@ -16,7 +16,7 @@
 const (
 	// halfLife is the time in which half of the samples are forgotten: a target that has recovered is to have its share
 	// back within seconds.
-	halfLife = 3 * clock.Second
+	halfLife = 2 * clock.Second
 	// maxSamples bounds the weight of one node's samples: with more, a change would take longer to show.
 	maxSamples = 16
 	// maxStep bounds a sample's distance from the mean of those before it, in octaves. A tail of seven times is 2.8.
@@ -24,7 +24,13 @@
 	// maxOctaves bounds all estimates: 1/8 to 8 times.
 	maxOctaves = 3
 	// prior is how many samples stand for a target being like the others.
-	prior = 1.5
+	prior = 1
+	// unusedGrace is how long after a target's latest request its estimate holds; then half of it is forgotten each
+	// halfLife, however many samples stand behind it.
+	unusedGrace = clock.Second
+	// Differences of up to byChance, in octaves, are those of equal targets with ten samples, whose times vary by half; from
+	// certain on they are not.
+	byChance, certain = 0.2, 0.5
 	// minSamples is how many samples a target must have to count for the median.
 	minSamples = 1
 )
@@ -150,13 +156,23 @@
 }
 
 // Relative returns how many times longer the target takes than the median target, in octaves, as far as the samples carry
-// it, and as they say.
-func (e Estimate) Relative(median float64) (expected, seen float64) {
+// it after so long without a request, and as they say.
+func (e Estimate) Relative(median float64, unused clock.Millis) (expected, seen float64) {
 	if e.weight == 0 {
 		return 0, 0
 	}
 	seen = limit(e.octaves-median, maxOctaves)
-	return seen * e.weight / (e.weight + prior), seen
+	return withoutNoise(seen * e.weight / (e.weight + prior) * decay(unused-unusedGrace)), seen
+}
+
+// withoutNoise returns 0 for differences that may be chance, the octaves themselves for clear ones, and rises in between.
+// Where a request has little time to spare, a difference of a few hundredths would decide.
+func withoutNoise(octaves float64) float64 {
+	x := math.Abs(octaves)
+	if x < certain {
+		x = max(x-byChance, 0) * certain / (certain - byChance)
+	}
+	return math.Copysign(x, octaves)
 }
 
 // Median returns the median of the targets that have been seen, in octaves, and 0 if there are none. It uses buf for its
--- a/pool/speeds.go
+++ b/pool/speeds.go
@@ -97,7 +97,7 @@
 	for i, t := range p.order {
 		e := s.estimates[i]
 		var expected float64
-		expected, t.speed.seen = e.Relative(median)
+		expected, t.speed.seen = e.Relative(median, now-t.usedAt)
 		t.speed.factor, t.speed.samples = speed.Ratio(expected), e.Samples()
 		p.noteSlow(t)
 	}
