--- a/pool/speeds_test.go
+++ b/pool/speeds_test.go
@@ -261,7 +261,7 @@
 func TestTailIsNoSpeed(t *testing.T) {
 	fleet := newSpeedFleet(t, 3, targets(6, 3))
 	r := rand.New(rand.NewPCG(5, 6))
-	w := load{every: 30, takes: func(_ int, l *pool.Lease, a *pool.Request) clock.Millis {
+	w := load{every: 30, takes: func(_ int, _ *pool.Lease, a *pool.Request) clock.Millis {
 		if r.Float64() < 0.03 {
 			return 7 * a.Work
 		}
