--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -26,7 +26,11 @@
 	lossRate float64
 	// detectionDelay is how long a node takes to notice that it has lost contact with another one.
 	detectionDelay clock.Millis
-	waiting        []waiter
+	// discovery returns how long after both have started two nodes discover each other; at once if nil. startWait is how
+	// long a request waits on a node that has just started.
+	discovery func(a, b *node) clock.Millis
+	startWait clock.Millis
+	waiting   []waiter
 	// inFlight are messages that have not been delivered, in the order of sending.
 	inFlight []message
 	// admitted are the times of admitted requests by workspace, and refused counts the others.
@@ -48,6 +52,7 @@
 	startedAt       clock.Millis
 	peakLive        int
 	reachedAllSeeds bool
+	startup         *limit.Startup
 	side            int
 	down            bool
 	paused          bool
@@ -96,6 +101,7 @@
 	n.clock = &pausableClock{f.clock}
 	n.table, n.startedAt, n.down, n.peakLive, n.reachedAllSeeds = limit.New(n.clock, f.bounds), f.clock.Now(), false, 0, false
 	n.heardAt = map[*node]clock.Millis{}
+	n.startup = limit.NewStartup(f.clock.Now())
 }
 
 // connected reports whether messages can pass between two nodes.
@@ -106,6 +112,9 @@
 // considersReachable reports whether node n counts m as in contact.
 func (f *fleet) considersReachable(n, m *node) bool {
 	now := f.clock.Now()
+	if m != n && f.discovery != nil && now < max(n.startedAt, m.startedAt)+f.discovery(n, m) {
+		return false
+	}
 	if m == n || f.connected(n, m) {
 		n.heardAt[m] = now
 		return true
@@ -124,7 +133,7 @@
 			continue
 		}
 		v.Live++
-		if f.connected(n, m) {
+		if f.connected(n, m) && f.discovery == nil {
 			n.peakLive = max(n.peakLive, m.peakLive) // nodes exchange this on first contact
 		}
 		if v.SharerCount < f.carriers && n.suspectedUntil[m] <= now {
@@ -144,8 +153,11 @@
 	if n.reachedAllSeeds = n.reachedAllSeeds || v.ReachedAllSeeds(); n.reachedAllSeeds {
 		v.Seeds, v.SeedsReached = 0, 0
 	}
-	v.PeakLive, v.JustStarted = n.peakLive, now-n.startedAt < 500
-	v.ColdStart = coldStart && now-n.startedAt < 2*clock.Second
+	v.PeakLive, v.ColdStart = n.peakLive, coldStart && now-n.startedAt < 2*clock.Second
+	if v.JustStarted = now-n.startedAt < 500; f.discovery != nil {
+		v = n.startup.Observe(v, now)
+		v.ColdStart = coldStart && now-n.startedAt < limit.ColdStartPeriod
+	}
 	return v
 }
 
@@ -183,7 +195,11 @@
 	case admitted:
 		f.admitted[w] = append(f.admitted[w], f.clock.Now())
 	case f.lending:
-		f.waiting = append(f.waiting, waiter{node: n, w: w, until: f.clock.Now() + loanWait})
+		wait := clock.Millis(loanWait)
+		if n.startup.IsStarting(f.clock.Now()) {
+			wait = max(wait, f.startWait)
+		}
+		f.waiting = append(f.waiting, waiter{node: n, w: w, until: f.clock.Now() + wait})
 	default:
 		f.refused[w]++
 	}
@@ -217,8 +233,15 @@
 }
 
 func (f *fleet) ask(n *node, q *limit.LoanRequest) {
-	for _, m := range f.nodes[:f.carriers] {
-		if m != n {
+	sent := 0
+	for _, m := range f.nodes {
+		if sent == f.carriers || m.id >= f.carriers && f.discovery == nil {
+			return
+		}
+		if f.discovery != nil && !f.considersReachable(n, m) {
+			continue
+		}
+		if sent++; m != n {
 			f.send(message{from: n.id, to: m.id, ask: q})
 		}
 	}
@@ -454,22 +477,25 @@
 		carriers int
 		lends    bool
 		uneven   bool
+		// times is the load as a multiple of the normal one.
+		times float64
 		// least and most bound the fraction that is refused.
 		least, most float64
 	}{
-		{"lent, evenly", 6, true, false, 0, 0.01},
-		{"lent, to two nodes", 6, true, true, 0, 0.03},
-		{"shares of carriers, evenly", 6, false, false, 0.002, 0.5},
-		{"shares of carriers, to two nodes", 6, false, true, 0.2, 0.7},
-		{"shares of all nodes, to two nodes", 30, false, true, 0.8, 1},
+		{"lent, evenly", 6, true, false, 1, 0, 0.01},
+		{"lent, to two nodes", 6, true, true, 1, 0, 0.03},
+		{"lent, evenly, a third more", 6, true, false, 1.33, 0, 0.01},
+		{"shares of carriers, evenly, a third more", 6, false, false, 1.33, 0.002, 0.5},
+		{"shares of carriers, to two nodes", 6, false, true, 1, 0.2, 0.7},
+		{"shares of all nodes, to two nodes", 30, false, true, 1, 0.8, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(t, 30, c.carriers, c.lends, 5)
 			f.run(8*clock.Second, rates, f.evenLoad(0))
-			ask := f.evenLoad(1)
+			ask := f.evenLoad(c.times)
 			if c.uneven {
-				ask = f.loadOnTwo(1)
+				ask = f.loadOnTwo(c.times)
 			}
 			f.run(40*clock.Second, rates, ask)
 			got := f.check(c.name)
--- a/limit/table.go
+++ b/limit/table.go
@@ -44,8 +44,11 @@
 	startedAt clock.Millis
 	tickedAt  clock.Millis
 	// coldStart reports that the whole fleet started with this process, so that it has the initial quota.
-	coldStart   bool
+	coldStart bool
+	// starting reports that the process just started as of the last tick. Loan requests reach few lenders then.
+	starting    bool
 	sharers     *assign.Sharers
+	hold        countHold
 	seedContact seedContact
 	// nominalShare is the node's share, of which it may use a fraction.
 	nominalShare float64
@@ -65,7 +68,7 @@
 	now := t.clock.Now()
 	t.checkPause(now)
 	previous := t.currentShare()
-	t.nominalShare = v.withSettledSharers(t.sharers, now).Share(t.nominalShare)
+	t.nominalShare = v.withSettledSharers(t.sharers, &t.hold, now).Share(t.nominalShare)
 	share = t.nominalShare * t.seedContact.fraction(v, now)
 	switch coldStart := v.ColdStart && len(t.allocations) == 1 && t.allocations[0].at == t.startedAt && now-t.tickedAt <= maxTickGap; {
 	case coldStart:
@@ -73,6 +76,10 @@
 	case share != previous:
 		t.setShare(now, share)
 	}
+	if t.starting && !v.JustStarted {
+		t.askAtOnce()
+	}
+	t.starting = v.JustStarted
 	t.tickedAt = now
 	return share, share != previous
 }
@@ -103,6 +110,13 @@
 	}
 }
 
+// askAtOnce lets each account request a loan with its next request.
+func (t *Table) askAtOnce() {
+	for _, a := range t.accounts {
+		a.askInterval, a.nextAskAt = minAskInterval, 0
+	}
+}
+
 func (t *Table) currentShare() float64 {
 	return t.allocations[len(t.allocations)-1].share
 }
--- a/limit/view.go
+++ b/limit/view.go
@@ -43,15 +43,43 @@
 // node only once the others count it. A node that is in contact with too few others holds no share, and the rest may no
 // longer count it. The only node of a fleet has nobody to wait for. A starting node doesn't wait either: if all nodes
 // restarted one after the other, none would hold a share in the meantime.
-func (v View) withSettledSharers(s *assign.Sharers, now clock.Millis) View {
+func (v View) withSettledSharers(s *assign.Sharers, h *countHold, now clock.Millis) View {
 	count, settled := s.Observe(v.Sharers, v.IsSharer && v.HasEnoughPeers(), v.ColdStart || v.JustStarted || max(v.Live, v.PeakLive) <= 1, now)
 	if len(v.Sharers) > 0 {
 		v.SharerCount = max(count, 1)
 	}
+	v.SharerCount = h.apply(v.SharerCount, v.ColdStart || v.JustStarted, now)
 	v.IsSharer = settled
 	return v
 }
 
+// holdTime is how long a lower number of sharers must have been seen to count. A node that is suspected repeatedly is
+// missing for longer than assign.SettleTime, and uses its share meanwhile.
+const holdTime = assign.SettleTime
+
+// countHold delays decreases of the number of sharers, which raise the shares.
+type countHold struct {
+	count int
+	// lower is the maximum since lowerSince, which is below count.
+	lower      int
+	lowerSince clock.Millis
+}
+
+// apply returns the number of sharers to count. A starting node has held no share that it could raise.
+func (h *countHold) apply(count int, starting bool, now clock.Millis) int {
+	switch {
+	case starting || count >= h.count:
+		h.count, h.lower = count, 0
+	case h.lower == 0:
+		h.lower, h.lowerSince = count, now
+	case now-h.lowerSince >= holdTime:
+		h.count, h.lower = max(h.lower, count), 0
+	default:
+		h.lower = max(h.lower, count)
+	}
+	return h.count
+}
+
 // HasEnoughPeers reports whether the node is in contact with enough others to know its share and that of the rest.
 func (v View) HasEnoughPeers() bool {
 	return !v.Isolated && v.ReachedMostSeeds() && float64(v.Live) > keepShare*float64(v.PeakLive)
--- a/node/admit.go
+++ b/node/admit.go
@@ -23,6 +23,8 @@
 	// minLimitRetryAfter and maxLimitRetryAfter bound the retry delay of callers over their limit.
 	minLimitRetryAfter clock.Millis = 200
 	maxLimitRetryAfter              = 3 * clock.Second
+	// limitPatience is the part of a route's timeout, as a divisor, that a request may wait for quota.
+	limitPatience = 4
 )
 
 // authenticate returns the workspace that the request's key belongs to, or the problem with the key. The workspace is nil
@@ -48,8 +50,8 @@
 }
 
 // checkLimit charges one request to the workspace's limit. It returns a problem if the limit does not allow the request.
-func (n *Node) checkLimit(w *access.Workspace, r *http.Request) *Problem {
-	admitted, wait, reached := n.quotas.admit(r.Context(), w)
+func (n *Node) checkLimit(w *access.Workspace, route *desired.Route, r *http.Request) *Problem {
+	admitted, wait, reached := n.quotas.admit(r.Context(), w, route.Timeout/limitPatience)
 	switch {
 	case admitted:
 		return nil
--- a/node/front.go
+++ b/node/front.go
@@ -101,7 +101,7 @@
 	if problem := x.checkLeaving(NotRun); problem != nil || workspace == nil {
 		return x, problem
 	}
-	if problem := n.checkLimit(workspace, r); problem != nil {
+	if problem := n.checkLimit(workspace, route, r); problem != nil {
 		problem.workspace, problem.limit = workspace.Name, workspace.Rate.PerSecond
 		return nil, problem
 	}
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -20,16 +20,13 @@
 const (
 	// loanTimeout is how long a request waits for a loan from other nodes: several round trips between halls.
 	loanTimeout clock.Millis = 25
-	// startupLoanTimeout is the same on a process that has just started.
-	startupLoanTimeout clock.Millis = 300
+	// startupLoanTimeout is the same on a process that has just started. It is about the pause after which a refused
+	// caller would be back.
+	startupLoanTimeout = 1 * clock.Second
 	// maxRemoteLenders is how many nodes of other halls are asked for a loan, besides all sharers of this hall.
 	maxRemoteLenders = 6
-	// startupPeriod is how long after its start a process assumes that it does not know all nodes yet. isolationPeriod is how
-	// long one that should be in contact with others and is not considers itself isolated.
-	startupPeriod   = 2 * clock.Second
+	// isolationPeriod is how long a process that should be in contact with others and is not considers itself isolated.
 	isolationPeriod = 1 * clock.Minute
-	// settledPeriod is how long the number of live nodes must stay the same for all to be considered known.
-	settledPeriod clock.Millis = 350
 	// coldStartWindow is the maximum difference between the start times of processes that started together, by the clocks of
 	// their VMs. coldStartOldShare is the share of nodes that may have started earlier.
 	coldStartWindow   = 3 * clock.Second
@@ -46,10 +43,8 @@
 	// hasEnoughPeers reports whether this node was in contact with enough others to know its share, as of the last tick.
 	hasEnoughPeers atomic.Bool
 
-	mu sync.Mutex
-	// live is the number of live nodes at the last check, and liveChangedAt the time at which it last changed.
-	live          int
-	liveChangedAt clock.Millis
+	mu      sync.Mutex
+	startup *limit.Startup
 	// loanArrived is closed and replaced when a loan arrives.
 	loanArrived chan struct{}
 }
@@ -57,7 +52,7 @@
 func newQuotas(n *Node) *quotas {
 	w := n.settings().Workspaces
 	b := limit.Bounds{Window: w.Window.Millis(), Overshoot: w.Overshoot, Slack: w.Slack}
-	return &quotas{node: n, table: limit.New(n.clock, b), peakLive: recentMax{window: limitPeakNodesWindow}, loanArrived: make(chan struct{})}
+	return &quotas{node: n, table: limit.New(n.clock, b), peakLive: recentMax{window: limitPeakNodesWindow}, startup: limit.NewStartup(n.clock.Now()), loanArrived: make(chan struct{})}
 }
 
 // tick follows changes of the nodes that share the limits.
@@ -78,19 +73,20 @@
 	now := n.clock.Now()
 	live := len(n.members.Live()) + 1
 	sharing := n.carriers.sharers()
-	q.observeLive(live, now)
-	started := now-n.duty.startedAt < startupPeriod
+	started := now-n.duty.startedAt < limit.ColdStartPeriod
 	seeds, reached := q.seedsReached()
 	v := limit.View{
 		Seeds: seeds, SeedsReached: reached,
 		Sharers: nodeNames(sharing), IsSharer: n.isAmong(sharing),
 		SharerCount: len(sharing), Live: live, PeakLive: q.peakLive.observe(live, now),
-		Isolated: n.peers.isAlone() && now-n.duty.startedAt < isolationPeriod, JustStarted: q.justStarted(), ColdStart: started && q.isColdStart(),
+		Isolated: n.peers.isAlone() && now-n.duty.startedAt < isolationPeriod, ColdStart: started && q.isColdStart(),
 	}
 	if v.ReachedAllSeeds() {
 		q.reachedAllSeeds.Store(true)
 	}
-	return v
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.startup.Observe(v, now)
 }
 
 // seedsReached returns the number of configured seeds and how many of them are in contact. It returns 0, 0 once all have been
@@ -128,8 +124,9 @@
 }
 
 // admit reports whether the workspace may make a request now. If not, it returns when to retry, and whether the limit is known
-// to be reached: a node that is in contact with too few others has no share of it.
-func (q *quotas) admit(ctx context.Context, w *access.Workspace) (admitted bool, wait clock.Millis, reached bool) {
+// to be reached: a node that is in contact with too few others has no share of it. Patience bounds how long the request may
+// wait on a process that has just started.
+func (q *quotas) admit(ctx context.Context, w *access.Workspace, patience clock.Millis) (admitted bool, wait clock.Millis, reached bool) {
 	if !w.Rate.Bounded() {
 		return true, 0, false
 	}
@@ -137,7 +134,7 @@
 	if question != nil {
 		q.requestLoan(question)
 	}
-	if admitted || q.waitForLoan(ctx, w) {
+	if admitted || q.waitForLoan(ctx, w, patience) {
 		return true, 0, false
 	}
 	return false, q.table.Refuse(w.Name, w.Rate), q.hasEnoughPeers.Load()
@@ -145,10 +142,10 @@
 
 // waitForLoan waits for a loan that was requested just now. A process that has just started waits longer, since it discovers
 // the other nodes one by one.
-func (q *quotas) waitForLoan(ctx context.Context, w *access.Workspace) bool {
+func (q *quotas) waitForLoan(ctx context.Context, w *access.Workspace, patience clock.Millis) bool {
 	wait := loanTimeout
-	if q.justStarted() {
-		wait = startupLoanTimeout
+	if q.isStarting() {
+		wait = max(loanTimeout, min(startupLoanTimeout, patience))
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
@@ -160,7 +157,7 @@
 			return true
 		case question != nil:
 			q.requestLoan(question)
-		case !q.justStarted() && !q.table.LoanPending(w.Name, loanTimeout):
+		case !q.isStarting() && !q.table.LoanPending(w.Name, loanTimeout):
 			return false
 		}
 		select {
@@ -173,22 +170,11 @@
 	return admitted
 }
 
-// justStarted reports whether this process started recently and may not know all nodes yet: the number of live nodes has
-// not settled.
-func (q *quotas) justStarted() bool {
+// isStarting reports whether this process started recently and may not know all nodes yet.
+func (q *quotas) isStarting() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.node.clock.Now()
-	return now-q.node.duty.startedAt < startupPeriod && now-q.liveChangedAt < settledPeriod
-}
-
-// observeLive records the number of live nodes.
-func (q *quotas) observeLive(live int, now clock.Millis) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if live != q.live {
-		q.live, q.liveChangedAt = live, now
-	}
+	return q.startup.IsStarting(q.node.clock.Now())
 }
 
 // loanArrival returns a channel that is closed when the next loan arrives.
