A limit is spent on urgent routes first while a workspace asks for more

Under [balance] limit_order a node leaves over what more urgent requests are expected to need shortly, and each kind keeps a share.

Ruled out: a reserve for 0.25 s of demand without a bound; what is left over is unused in each window. Callers of one workspace and loans by urgency are not begun.

--- a/limit/account.go
+++ b/limit/account.go
@@ -35,6 +35,8 @@
 	seq                    uint64
 	// lenders have answered the last loan request.
 	lenders []ident.Node
+	// order is nil unless the limit is spent by priority.
+	order *order
 }
 
 // loan is quota received from another node.
--- /dev/null
+++ b/limit/order.go
@@ -0,0 +1,222 @@
+package limit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/ident"
+)
+
+const (
+	// orderPeriod is how long after a refusal a workspace's limit is spent by priority. Callers of refused requests are
+	// back within it.
+	orderPeriod = 3 * clock.Second
+	// orderAhead is the span of expected demand of more urgent requests that others leave over, and maxOrderReserve the
+	// most of a node's quota for a window that this may be: what is left over is unused in each window.
+	orderAhead      clock.Millis = 250
+	maxOrderReserve              = 0.015
+	// minKindShare is the least share of a kind's requests that is admitted, relative to that of all requests.
+	// minLaterShare is the least part of all admitted requests that goes to those which are not the most urgent.
+	minKindShare, minLaterShare = 0.25, 0.1
+	// maxOwed bounds the requests that a kind is owed.
+	maxOwed = 3.0
+	// maxKinds is the number of priorities told apart; the least urgent share the last one.
+	maxKinds = 8
+)
+
+// order decides which requests of a workspace are admitted while it asks for more than its limit: urgent ones first,
+// and a share of each of the others. It answers a flood of one workspace that has urgent and bulk requests alike, in
+// which who is refused would be left to the order of arrival. Nothing is held back unless a request was refused of late.
+type order struct {
+	// kinds are sorted by priority, the most urgent first.
+	kinds []kind
+	// admitted is the moving average of admitted requests per millisecond.
+	admitted average
+	// refusedAt is when a request was last refused; 0 if none was.
+	refusedAt clock.Millis
+	reported  bool
+}
+
+// kind is the requests of one priority.
+type kind struct {
+	priority uint32
+	demand   average
+	// owed is how many requests the kind is to be admitted whatever the others ask for.
+	owed float64
+}
+
+// average is a moving average of events per millisecond.
+type average struct {
+	value float64
+	at    clock.Millis
+}
+
+func (a *average) decay(now clock.Millis) float64 {
+	if now > a.at {
+		a.value *= math.Exp(-float64(now-a.at) / float64(demandWindow))
+		a.at = now
+	}
+	return a.value
+}
+
+func (a *average) add(now clock.Millis) {
+	a.decay(now)
+	a.value += 1 / float64(demandWindow)
+}
+
+// index returns the index of the priority, which it adds.
+func (o *order) index(priority uint32) int {
+	i, found := slices.BinarySearchFunc(o.kinds, priority, func(k kind, p uint32) int { return cmp.Compare(k.priority, p) })
+	if !found && len(o.kinds) >= maxKinds {
+		return min(i, maxKinds-1)
+	}
+	if !found {
+		o.kinds = slices.Insert(o.kinds, i, kind{priority: priority})
+	}
+	return i
+}
+
+// isActive reports whether the workspace is held to the order.
+func (o *order) isActive(now clock.Millis) bool {
+	return o.refusedAt > 0 && now-o.refusedAt < orderPeriod
+}
+
+// arrive counts a request and what its kind is owed for it.
+func (o *order) arrive(priority uint32, now clock.Millis) {
+	i := o.index(priority)
+	o.kinds[i].demand.add(now)
+	if !o.isActive(now) {
+		o.kinds[i].owed = 0
+		return
+	}
+	all, later := 0.0, 0.0
+	for j := range o.kinds {
+		d := o.kinds[j].demand.decay(now)
+		all += d
+		if j > 0 {
+			later += d
+		}
+	}
+	share := min(o.admitted.decay(now)/all, 1)
+	least := minKindShare * share
+	if i > 0 {
+		least = max(least, minLaterShare*share*all/later)
+	}
+	o.kinds[i].owed = min(o.kinds[i].owed+min(least, 1), maxOwed)
+}
+
+// reserve returns how much quota a request of the priority has to leave over, of what the node has for a window.
+func (o *order) reserve(priority uint32, perWindow float64, now clock.Millis) float64 {
+	if !o.isActive(now) {
+		return 0
+	}
+	i := o.index(priority)
+	if o.kinds[i].owed >= 1 {
+		return 0
+	}
+	sum := 0.0
+	for j := range o.kinds {
+		switch k := &o.kinds[j]; {
+		case j < i:
+			d := k.demand.decay(now)
+			sum += d*float64(orderAhead) + min(d*float64(clock.Second), 1)
+		case j > i && k.owed >= 1:
+			sum++
+		}
+	}
+	return min(sum, max(maxOrderReserve*perWindow, 1))
+}
+
+// admit counts an admitted request.
+func (o *order) admit(priority uint32, now clock.Millis) {
+	k := &o.kinds[o.index(priority)]
+	k.owed = max(k.owed-1, 0)
+	o.admitted.add(now)
+}
+
+// TakeInOrder is Take for a request with a priority, 0 being the most urgent: while the workspace asks for more than its
+// limit, urgent requests go first.
+func (t *Table) TakeInOrder(w ident.Workspace, r Rate, priority uint32) (admitted bool, ask *LoanRequest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	a, g := t.account(w, r, now)
+	a.countArrival(now)
+	a.orderOf().arrive(priority, now)
+	available := a.available(g, now)
+	if admitted = a.takeInOrder(g, available, priority, now); admitted {
+		available--
+	}
+	return admitted, t.loanRequest(w, a, admitted, available, now)
+}
+
+// RetryInOrder is Retry for a request with a priority.
+func (t *Table) RetryInOrder(w ident.Workspace, r Rate, priority uint32) (admitted bool, ask *LoanRequest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	a, g := t.account(w, r, now)
+	a.orderOf()
+	available := a.available(g, now)
+	if a.takeInOrder(g, available, priority, now) {
+		return true, nil
+	}
+	return false, t.loanRequest(w, a, false, available, now)
+}
+
+// RefuseInOrder is Refuse for a request with a priority. It reports also whether there was quota that was left over for
+// more urgent requests.
+func (t *Table) RefuseInOrder(w ident.Workspace, r Rate) (wait clock.Millis, byOrder bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	a, g := t.account(w, r, now)
+	a.refused++
+	a.orderOf().refusedAt = now
+	return a.ledger.waitTime(g, now), a.available(g, now) >= 1
+}
+
+// orderOf returns the account's order, which it begins if needed.
+func (a *account) orderOf() *order {
+	if a.order == nil {
+		a.order = &order{}
+	}
+	return a.order
+}
+
+// takeInOrder takes one request from the available quota if the order allows it.
+func (a *account) takeInOrder(g grant, available float64, priority uint32, now clock.Millis) bool {
+	share := g.allocations[len(g.allocations)-1].share
+	perWindow := (g.capacity + g.perMilli*float64(g.window)) * share
+	if available < 1+a.order.reserve(priority, perWindow, now) || !a.takeOne(g, available, now) {
+		return false
+	}
+	a.used++
+	a.order.admit(priority, now)
+	return true
+}
+
+// OrderChange is that a workspace begins or ends to be held to the order.
+type OrderChange struct {
+	Workspace ident.Workspace
+	Active    bool
+}
+
+// maxOrderChanges bounds the changes reported at a time.
+const maxOrderChanges = 20
+
+// OrderChanges returns the changes that were not reported yet.
+func (t *Table) OrderChanges() (changes []OrderChange) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	for w, a := range t.accounts {
+		if a.order != nil && a.order.isActive(now) != a.order.reported && len(changes) < maxOrderChanges {
+			a.order.reported = !a.order.reported
+			changes = append(changes, OrderChange{Workspace: w, Active: a.order.reported})
+		}
+	}
+	return changes
+}
--- a/node/admit.go
+++ b/node/admit.go
@@ -51,19 +51,19 @@
 
 // checkLimit charges one request to the workspace's limit. It returns a problem if the limit does not allow the request.
 func (n *Node) checkLimit(w *access.Workspace, route *desired.Route, r *http.Request) *Problem {
-	admitted, wait, reached := n.quotas.admit(r.Context(), w, route.Timeout/limitPatience)
+	refusal := n.quotas.admit(r.Context(), w, route)
 	switch {
-	case admitted:
+	case refusal == nil:
 		return nil
-	case !reached:
+	case !refusal.reached:
 		return &Problem{
 			Status: http.StatusServiceUnavailable, RetryAfter: jitter(unverifiedRetryAfter),
 			Detail: "this node hears too few others to know what the workspace may ask",
 		}
 	}
 	return &Problem{
-		Status: http.StatusTooManyRequests, RetryAfter: jitter(min(max(wait, minLimitRetryAfter), maxLimitRetryAfter)),
-		Detail: "the workspace has reached its limit",
+		Status: http.StatusTooManyRequests, RetryAfter: jitter(min(max(refusal.wait, minLimitRetryAfter), maxLimitRetryAfter)),
+		Detail: "the workspace has reached its limit", byOrder: refusal.byOrder,
 	}
 }
 
--- a/node/front.go
+++ b/node/front.go
@@ -199,6 +199,9 @@
 		"event": "request_refused", "request": id, "host": r.Host, "path": r.URL.Path,
 		"status": p.Status, "workspace": p.workspace, "limit": p.limit, "proof_ms": n.proofAge(), "reason": p.Detail, "retry_after_ms": p.RetryAfter, "version": n.stateVersion(),
 	}
+	if p.byOrder {
+		f["order"] = "priority"
+	}
 	if p.fingerprint != "" {
 		f["print"] = p.fingerprint
 	}
--- a/node/problem.go
+++ b/node/problem.go
@@ -34,6 +34,8 @@
 	// workspace is the workspace of the request, and limit its requests per second, for the log.
 	workspace ident.Workspace
 	limit     float64
+	// byOrder is set if what is left of the limit is for more urgent requests, for the log.
+	byOrder bool
 	// fingerprint identifies a request that quarantine holds back, for the log.
 	fingerprint string
 	// fractionalSeconds is set if the caller accepts fractions of a second in Retry-After.
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/access"
 	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/desired"
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/limit"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
@@ -65,6 +66,9 @@
 			"live": v.Live, "known": v.PeakLive, "alone": v.Isolated, "young": v.JustStarted,
 		}).Info()
 	}
+	for _, c := range q.table.OrderChanges() {
+		q.node.log.WithFields(logrus.Fields{"event": "limit_order", "workspace": c.Workspace, "active": c.Active}).Info()
+	}
 }
 
 // view returns this node's view of the nodes that share the limits.
@@ -123,26 +127,49 @@
 	return float64(old) <= coldStartOldShare*float64(len(live))
 }
 
-// admit reports whether the workspace may make a request now. If not, it returns when to retry, and whether the limit is known
-// to be reached: a node that is in contact with too few others has no share of it. Patience bounds how long the request may
-// wait on a process that has just started.
-func (q *quotas) admit(ctx context.Context, w *access.Workspace, patience clock.Millis) (admitted bool, wait clock.Millis, reached bool) {
+// A limitRefusal is why a workspace may not make a request now.
+type limitRefusal struct {
+	wait clock.Millis
+	// reached reports that the limit is known to be reached: a node that is in contact with too few others has no share
+	// of it. byOrder reports that what is left of it is for more urgent requests.
+	reached, byOrder bool
+}
+
+// admit returns nil if the workspace may make a request of the route now. A request waits for quota for a part of its
+// timeout at the most.
+func (q *quotas) admit(ctx context.Context, w *access.Workspace, route *desired.Route) *limitRefusal {
 	if !w.Rate.Bounded() {
-		return true, 0, false
+		return nil
 	}
-	admitted, question := q.table.Take(w.Name, w.Rate)
+	inOrder := q.node.settings().Balance.LimitOrder
+	take, retry := q.table.Take, q.table.Retry
+	if inOrder {
+		take = func(name ident.Workspace, r limit.Rate) (bool, *limit.LoanRequest) {
+			return q.table.TakeInOrder(name, r, route.Priority)
+		}
+		retry = func(name ident.Workspace, r limit.Rate) (bool, *limit.LoanRequest) {
+			return q.table.RetryInOrder(name, r, route.Priority)
+		}
+	}
+	admitted, question := take(w.Name, w.Rate)
 	if question != nil {
 		q.requestLoan(question)
 	}
-	if admitted || q.waitForLoan(ctx, w, patience) {
-		return true, 0, false
+	if admitted || q.waitForLoan(ctx, w, route.Timeout/limitPatience, retry) {
+		return nil
+	}
+	refusal := &limitRefusal{reached: q.hasEnoughPeers.Load()}
+	if inOrder {
+		refusal.wait, refusal.byOrder = q.table.RefuseInOrder(w.Name, w.Rate)
+	} else {
+		refusal.wait = q.table.Refuse(w.Name, w.Rate)
 	}
-	return false, q.table.Refuse(w.Name, w.Rate), q.hasEnoughPeers.Load()
+	return refusal
 }
 
 // waitForLoan waits for a loan that was requested just now. A process that has just started waits longer, since it discovers
 // the other nodes one by one.
-func (q *quotas) waitForLoan(ctx context.Context, w *access.Workspace, patience clock.Millis) bool {
+func (q *quotas) waitForLoan(ctx context.Context, w *access.Workspace, patience clock.Millis, retry func(ident.Workspace, limit.Rate) (bool, *limit.LoanRequest)) bool {
 	wait := loanTimeout
 	if q.isStarting() {
 		wait = max(loanTimeout, min(startupLoanTimeout, patience))
@@ -151,7 +178,7 @@
 	defer cancel()
 	for ctx.Err() == nil {
 		came := q.loanArrival()
-		admitted, question := q.table.Retry(w.Name, w.Rate)
+		admitted, question := retry(w.Name, w.Rate)
 		switch {
 		case admitted:
 			return true
@@ -166,7 +193,7 @@
 		case <-time.After(loanTimeout.Duration()):
 		}
 	}
-	admitted, _ := q.table.Retry(w.Name, w.Rate)
+	admitted, _ := retry(w.Name, w.Rate)
 	return admitted
 }
 
