One caller does not take all of a limit that is spent in order

A caller that had over twice an equal part of what was admitted in the last second leaves one request more over.

--- a/limit/order.go
+++ b/limit/order.go
@@ -27,18 +27,66 @@
 )
 
 // order decides which requests of a workspace are admitted while it asks for more than its limit: urgent ones first,
-// and a share of each of the others. It answers a flood of one workspace that has urgent and bulk requests alike, in
+// and a share of each of the others, and within that callers which had less. It answers a flood of one workspace that has urgent and bulk requests alike, in
 // which who is refused would be left to the order of arrival. Nothing is held back unless a request was refused of late.
 type order struct {
 	// kinds are sorted by priority, the most urgent first.
 	kinds []kind
 	// admitted is the moving average of admitted requests per millisecond.
 	admitted average
+	callers  callers
 	// refusedAt is when a request was last refused; 0 if none was.
 	refusedAt clock.Millis
 	reported  bool
 }
 
+// OrderedRequest is what the order tells a workspace's requests apart by.
+type OrderedRequest struct {
+	// Priority is 0 for the most urgent.
+	Priority uint32
+	// Caller is a hash of the caller's address.
+	Caller uint64
+}
+
+const (
+	// callerBuckets is the number of callers told apart; those with the same remainder share an entry.
+	callerBuckets = 16
+	// aheadFactor is how many times an equal part, and a request a second more, a caller has at least if it is ahead.
+	// Few requests are not spread evenly.
+	aheadFactor = 2
+)
+
+// callers are moving averages of requests per millisecond by caller.
+type callers struct {
+	asked, admitted [callerBuckets]float64
+	at              clock.Millis
+}
+
+func (c *callers) decay(now clock.Millis) {
+	if now <= c.at {
+		return
+	}
+	f := math.Exp(-float64(now-c.at) / float64(demandWindow))
+	for i := range c.asked {
+		c.asked[i] *= f
+		c.admitted[i] *= f
+	}
+	c.at = now
+}
+
+// isAhead reports whether the caller had clearly more than an equal part of what was admitted to those that ask.
+func (c *callers) isAhead(caller uint64, now clock.Millis) bool {
+	c.decay(now)
+	n, all := 0, 0.0
+	for i := range c.asked {
+		all += c.admitted[i]
+		if c.asked[i]*float64(clock.Second) >= 1 {
+			n++
+		}
+	}
+	return n > 1 && c.admitted[caller%callerBuckets] > aheadFactor*all/float64(n)+1/float64(demandWindow)
+}
+
 // kind is the requests of one priority.
 type kind struct {
 	priority uint32
@@ -84,8 +132,10 @@
 }
 
 // arrive counts a request and what its kind is owed for it.
-func (o *order) arrive(priority uint32, now clock.Millis) {
-	i := o.index(priority)
+func (o *order) arrive(x OrderedRequest, now clock.Millis) {
+	i := o.index(x.Priority)
+	o.callers.decay(now)
+	o.callers.asked[x.Caller%callerBuckets] += 1 / float64(demandWindow)
 	o.kinds[i].demand.add(now)
 	if !o.isActive(now) {
 		o.kinds[i].owed = 0
@@ -107,16 +157,18 @@
 	o.kinds[i].owed = min(o.kinds[i].owed+min(least, 1), maxOwed)
 }
 
-// reserve returns how much quota a request of the priority has to leave over, of what the node has for a window.
-func (o *order) reserve(priority uint32, perWindow float64, now clock.Millis) float64 {
+// reserve returns how much quota a request has to leave over, of what the node has for a window.
+func (o *order) reserve(x OrderedRequest, perWindow float64, now clock.Millis) float64 {
 	if !o.isActive(now) {
 		return 0
 	}
-	i := o.index(priority)
+	i, sum := o.index(x.Priority), 0.0
+	if o.callers.isAhead(x.Caller, now) {
+		sum++
+	}
 	if o.kinds[i].owed >= 1 {
-		return 0
+		return sum
 	}
-	sum := 0.0
 	for j := range o.kinds {
 		switch k := &o.kinds[j]; {
 		case j < i:
@@ -130,37 +182,39 @@
 }
 
 // admit counts an admitted request.
-func (o *order) admit(priority uint32, now clock.Millis) {
-	k := &o.kinds[o.index(priority)]
+func (o *order) admit(x OrderedRequest, now clock.Millis) {
+	k := &o.kinds[o.index(x.Priority)]
+	o.callers.decay(now)
+	o.callers.admitted[x.Caller%callerBuckets] += 1 / float64(demandWindow)
 	k.owed = max(k.owed-1, 0)
 	o.admitted.add(now)
 }
 
 // TakeInOrder is Take for a request with a priority, 0 being the most urgent: while the workspace asks for more than its
-// limit, urgent requests go first.
-func (t *Table) TakeInOrder(w ident.Workspace, r Rate, priority uint32) (admitted bool, ask *LoanRequest) {
+// limit, urgent requests go first, and no caller takes all.
+func (t *Table) TakeInOrder(w ident.Workspace, r Rate, x OrderedRequest) (admitted bool, ask *LoanRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	a, g := t.account(w, r, now)
 	a.countArrival(now)
-	a.orderOf().arrive(priority, now)
+	a.orderOf().arrive(x, now)
 	available := a.available(g, now)
-	if admitted = a.takeInOrder(g, available, priority, now); admitted {
+	if admitted = a.takeInOrder(g, available, x, now); admitted {
 		available--
 	}
 	return admitted, t.loanRequest(w, a, admitted, available, now)
 }
 
 // RetryInOrder is Retry for a request with a priority.
-func (t *Table) RetryInOrder(w ident.Workspace, r Rate, priority uint32) (admitted bool, ask *LoanRequest) {
+func (t *Table) RetryInOrder(w ident.Workspace, r Rate, x OrderedRequest) (admitted bool, ask *LoanRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	a, g := t.account(w, r, now)
 	a.orderOf()
 	available := a.available(g, now)
-	if a.takeInOrder(g, available, priority, now) {
+	if a.takeInOrder(g, available, x, now) {
 		return true, nil
 	}
 	return false, t.loanRequest(w, a, false, available, now)
@@ -187,14 +241,14 @@
 }
 
 // takeInOrder takes one request from the available quota if the order allows it.
-func (a *account) takeInOrder(g grant, available float64, priority uint32, now clock.Millis) bool {
+func (a *account) takeInOrder(g grant, available float64, x OrderedRequest, now clock.Millis) bool {
 	share := g.allocations[len(g.allocations)-1].share
 	perWindow := (g.capacity + g.perMilli*float64(g.window)) * share
-	if available < 1+a.order.reserve(priority, perWindow, now) || !a.takeOne(g, available, now) {
+	if available < 1+a.order.reserve(x, perWindow, now) || !a.takeOne(g, available, now) {
 		return false
 	}
 	a.used++
-	a.order.admit(priority, now)
+	a.order.admit(x, now)
 	return true
 }
 
--- a/limit/order_test.go
+++ b/limit/order_test.go
@@ -20,16 +20,22 @@
 // quota.
 type flood struct {
 	tables []*limit.Table
+	// caller returns the caller of the next request of a priority.
+	caller func(p uint32) uint64
 	clock  *clock.Manual
 	rand   *rand.Rand
 	rate   limit.Rate
 	asked  map[uint32]int
 	got    map[uint32]int
 	times  []clock.Millis
+	// after is called with each result, and last is the caller that asked.
+	after func(ok bool)
+	last  int
 }
 
 func newFlood(nodes int, r limit.Rate) *flood {
 	f := &flood{clock: clock.NewManual(50_000), rand: rand.New(rand.NewPCG(1, 2)), rate: r, asked: map[uint32]int{}, got: map[uint32]int{}}
+	f.caller = func(uint32) uint64 { return f.rand.Uint64() }
 	for range nodes {
 		f.tables = append(f.tables, limit.New(f.clock, bounds))
 	}
@@ -65,12 +71,18 @@
 			f.lend(table, ask)
 			ok, _ = table.Retry("w", f.rate)
 		}
-	} else if ok, ask = table.TakeInOrder("w", f.rate, p); !ok {
-		f.lend(table, ask)
-		if ok, _ = table.RetryInOrder("w", f.rate, p); !ok {
-			table.RefuseInOrder("w", f.rate)
+	} else {
+		x := limit.OrderedRequest{Priority: p, Caller: f.caller(p)}
+		if ok, ask = table.TakeInOrder("w", f.rate, x); !ok {
+			f.lend(table, ask)
+			if ok, _ = table.RetryInOrder("w", f.rate, x); !ok {
+				table.RefuseInOrder("w", f.rate)
+			}
 		}
 	}
+	if f.after != nil {
+		f.after(ok)
+	}
 	if ok {
 		f.got[p]++
 		f.times = append(f.times, f.clock.Now())
@@ -182,6 +194,49 @@
 	is.True(float64(f.most()) <= bounds.Allowed(f.rate))
 }
 
+// TestOneCallerDoesNotTakeAll has one caller flood a limit beside five that ask for less than an equal part of it, all
+// with the same priority. The five are refused less than half as often as the one,
+// and no less is admitted in total.
+func TestOneCallerDoesNotTakeAll(t *testing.T) {
+	t.Parallel()
+	const few = 1 // the first of the five
+	r := limit.Rate{PerSecond: 328, Burst: 328}
+	for _, nodes := range []int{1, 6, 10} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			is := is.New(t)
+			demand := map[string]float64{"one": 800, "each": 40}
+			with, without := newFlood(nodes, r), newFlood(nodes, r)
+			var share [2][2]float64
+			for i, f := range []*flood{without, with} {
+				asked, got := [2]int{}, [2]int{}
+				all := demand["one"] + 5*demand["each"]
+				f.caller = func(uint32) uint64 {
+					who := 0
+					if f.rand.Float64() >= demand["one"]/all {
+						who = few + f.rand.IntN(5)
+					}
+					f.last = min(who, 1)
+					return uint64(who)
+				}
+				f.after = func(ok bool) {
+					asked[f.last]++
+					if ok {
+						got[f.last]++
+					}
+				}
+				f.run(30*clock.Second, map[uint32]float64{bulk: all}, i == 1)
+				for j := range share[i] {
+					share[i][j] = float64(got[j]) / float64(max(asked[j], 1))
+				}
+			}
+			t.Logf("one %.3f, was %.3f; five %.3f; all %d, was %d", share[1][0], share[0][0], share[1][1], len(with.times), len(without.times))
+			is.True(1-share[1][1] <= (1-share[1][0])/2)
+			is.True(float64(len(with.times)) >= 0.98*float64(len(without.times)))
+			is.True(float64(with.most()) <= bounds.Allowed(r))
+		})
+	}
+}
+
 // BenchmarkTakeInOrder takes requests of a workspace within its limit, and of one that floods.
 func BenchmarkTakeInOrder(b *testing.B) {
 	for _, every := range []int{10, 1000} {
@@ -195,7 +250,7 @@
 					c.Advance(10)
 					table.Tick(singleNode)
 				}
-				if ok, _ := table.TakeInOrder("w", r, uint32(i%3)); !ok {
+				if ok, _ := table.TakeInOrder("w", r, limit.OrderedRequest{Priority: uint32(i % 3), Caller: uint64(i % 7)}); !ok {
 					table.RefuseInOrder("w", r)
 				}
 			}
--- a/node/admit.go
+++ b/node/admit.go
@@ -51,7 +51,7 @@
 
 // checkLimit charges one request to the workspace's limit. It returns a problem if the limit does not allow the request.
 func (n *Node) checkLimit(w *access.Workspace, route *desired.Route, r *http.Request) *Problem {
-	refusal := n.quotas.admit(r.Context(), w, route)
+	refusal := n.quotas.admit(r, w, route)
 	switch {
 	case refusal == nil:
 		return nil
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -137,25 +140,26 @@
 
 // admit returns nil if the workspace may make a request of the route now. A request waits for quota for a part of its
 // timeout at the most.
-func (q *quotas) admit(ctx context.Context, w *access.Workspace, route *desired.Route) *limitRefusal {
+func (q *quotas) admit(r *http.Request, w *access.Workspace, route *desired.Route) *limitRefusal {
 	if !w.Rate.Bounded() {
 		return nil
 	}
 	inOrder := q.node.settings().Balance.LimitOrder
 	take, retry := q.table.Take, q.table.Retry
 	if inOrder {
-		take = func(name ident.Workspace, r limit.Rate) (bool, *limit.LoanRequest) {
-			return q.table.TakeInOrder(name, r, route.Priority)
+		x := limit.OrderedRequest{Priority: route.Priority, Caller: callerHash(r)}
+		take = func(name ident.Workspace, rate limit.Rate) (bool, *limit.LoanRequest) {
+			return q.table.TakeInOrder(name, rate, x)
 		}
-		retry = func(name ident.Workspace, r limit.Rate) (bool, *limit.LoanRequest) {
-			return q.table.RetryInOrder(name, r, route.Priority)
+		retry = func(name ident.Workspace, rate limit.Rate) (bool, *limit.LoanRequest) {
+			return q.table.RetryInOrder(name, rate, x)
 		}
 	}
 	admitted, question := take(w.Name, w.Rate)
 	if question != nil {
 		q.requestLoan(question)
 	}
-	if admitted || q.waitForLoan(ctx, w, route.Timeout/limitPatience, retry) {
+	if admitted || q.waitForLoan(r.Context(), w, route.Timeout/limitPatience, retry) {
 		return nil
 	}
 	refusal := &limitRefusal{reached: q.hasEnoughPeers.Load()}
@@ -167,6 +171,17 @@
 	return refusal
 }
 
+// callerHash returns a hash of the caller's address without its port.
+func callerHash(r *http.Request) uint64 {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		host = r.RemoteAddr
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(host))
+	return h.Sum64()
+}
+
 // waitForLoan waits for a loan that was requested just now. A process that has just started waits longer, since it discovers
 // the other nodes one by one.
 func (q *quotas) waitForLoan(ctx context.Context, w *access.Workspace, patience clock.Millis, retry func(ident.Workspace, limit.Rate) (bool, *limit.LoanRequest)) bool {
