In a flood, quota is lent for urgent requests first

A node without a share borrowed for whatever came, and sharers kept quota for their own bulk requests.

--- a/limit/account.go
+++ b/limit/account.go
@@ -107,3 +107,13 @@
 func (a *account) reserve() float64 {
 	return a.expected(reserveFor) + min(a.expected(clock.Second), 1)
 }
+
+// lend debits up to the amount for another node and returns it, less what is reserved.
+func (a *account) lend(g grant, amount, reserved float64, now clock.Millis) float64 {
+	given := min(amount, a.ledger.balance(g, now)-reserved)
+	if !(given > minLoan) {
+		return 0
+	}
+	a.ledger.debit(g, given, now+loanTTL)
+	return given
+}
--- a/limit/order.go
+++ b/limit/order.go
@@ -190,6 +190,47 @@
 	o.admitted.add(now)
 }
 
+// expected returns how many requests that are at least as urgent are expected within the span, and the next one if it
+// is expected within a second.
+func (o *order) expected(priority uint32, span, now clock.Millis) (sum float64) {
+	for j := range o.kinds {
+		if k := &o.kinds[j]; k.priority <= priority {
+			d := k.demand.decay(now)
+			sum += d*float64(span) + min(d*float64(clock.Second), 1)
+		}
+	}
+	return sum
+}
+
+// inOrder completes a loan request: in a flood, a node without a share borrows for the most urgent requests that come.
+// Sharers have their part already, and what they lend each other counts for longer than what they take themselves.
+func (t *Table) inOrder(a *account, q *LoanRequest, priority uint32, now clock.Millis) *LoanRequest {
+	o := a.order
+	if q == nil || !o.isActive(now) || t.currentShare() > 0 {
+		return q
+	}
+	q.Priority, q.Ordered = priority, true
+	for j := range o.kinds {
+		if k := &o.kinds[j]; k.demand.decay(now)*float64(clock.Second) >= 1 {
+			q.Priority = min(q.Priority, k.priority)
+			break
+		}
+	}
+	q.Amount = (1 + o.expected(q.Priority, loanSpan, now)) * askShare
+	return q
+}
+
+// LendInOrder is Lend for a request of a workspace that asks for more than its limit. The node keeps what it expects to
+// need for requests that are as urgent, and lends what it has for others.
+func (t *Table) LendInOrder(w ident.Workspace, r Rate, amount float64, priority uint32) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	a, g := t.account(w, r, now)
+	a.decayDemand(now)
+	return a.lend(g, amount, a.orderOf().expected(priority, reserveFor, now), now)
+}
+
 // TakeInOrder is Take for a request with a priority, 0 being the most urgent: while the workspace asks for more than its
 // limit, urgent requests go first, and no caller takes all.
 func (t *Table) TakeInOrder(w ident.Workspace, r Rate, x OrderedRequest) (admitted bool, ask *LoanRequest) {
@@ -203,7 +244,7 @@
 	if admitted = a.takeInOrder(g, available, x, now); admitted {
 		available--
 	}
-	return admitted, t.loanRequest(w, a, admitted, available, now)
+	return admitted, t.inOrder(a, t.loanRequest(w, a, admitted, available, now), x.Priority, now)
 }
 
 // RetryInOrder is Retry for a request with a priority.
@@ -217,7 +258,7 @@
 	if a.takeInOrder(g, available, x, now) {
 		return true, nil
 	}
-	return false, t.loanRequest(w, a, false, available, now)
+	return false, t.inOrder(a, t.loanRequest(w, a, false, available, now), x.Priority, now)
 }
 
 // RefuseInOrder is Refuse for a request with a priority. It reports also whether there was quota that was left over for
--- a/limit/order_test.go
+++ b/limit/order_test.go
@@ -1,6 +1,7 @@
 package limit_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -31,10 +32,17 @@
 	// after is called with each result, and last is the caller that asked.
 	after func(ok bool)
 	last  int
+	// sharers is how many of the nodes hold a share, all if 0; callers come to all. oldLenders lend without regard to
+	// priorities.
+	sharers    int
+	oldLenders bool
 }
 
-func newFlood(nodes int, r limit.Rate) *flood {
-	f := &flood{clock: clock.NewManual(50_000), rand: rand.New(rand.NewPCG(1, 2)), rate: r, asked: map[uint32]int{}, got: map[uint32]int{}}
+func newFlood(nodes int, r limit.Rate) *flood { return newFloodAt(nodes, nodes, r) }
+
+// newFloodAt returns a flood whose requests come to all nodes, of which some hold shares.
+func newFloodAt(nodes, sharers int, r limit.Rate) *flood {
+	f := &flood{clock: clock.NewManual(50_000), rand: rand.New(rand.NewPCG(1, 2)), rate: r, asked: map[uint32]int{}, got: map[uint32]int{}, sharers: sharers}
 	f.caller = func(uint32) uint64 { return f.rand.Uint64() }
 	for range nodes {
 		f.tables = append(f.tables, limit.New(f.clock, bounds))
@@ -46,10 +54,11 @@
 // run sends requests per second by priority for a span, in order or not.
 func (f *flood) run(span clock.Millis, demand map[uint32]float64, inOrder bool) {
 	n := len(f.tables)
-	v := limit.View{IsSharer: true, SharerCount: n, Live: n, PeakLive: n}
+	v := limit.View{IsSharer: true, SharerCount: cmp.Or(f.sharers, n), Live: n, PeakLive: n}
 	for range span {
 		if f.clock.Now()%100 == 0 {
-			for _, table := range f.tables {
+			for i, table := range f.tables {
+				v.IsSharer = i < v.SharerCount
 				table.Tick(v)
 			}
 		}
@@ -96,7 +105,13 @@
 	}
 	for i, from := range f.tables {
 		if from != to {
-			to.AddLoan("w", ident.Node(fmt.Sprint(i)), from.Lend("w", f.rate, ask.Amount), ask.Seq)
+			lent := 0.0
+			if ask.Ordered && !f.oldLenders {
+				lent = from.LendInOrder("w", f.rate, ask.Amount, ask.Priority)
+			} else {
+				lent = from.Lend("w", f.rate, ask.Amount)
+			}
+			to.AddLoan("w", ident.Node(fmt.Sprint(i)), lent, ask.Seq)
 		}
 	}
 }
@@ -140,6 +155,23 @@
 	}
 }
 
+// TestLoansGoToUrgentRequests floods a limit at 30 nodes of which 6 hold shares. More urgent requests are admitted than
+// if lenders kept quota for their own bulk requests, as nodes of before do.
+func TestLoansGoToUrgentRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := limit.Rate{PerSecond: 328, Burst: 328}
+	demand := map[uint32]float64{urgent: 120, bulk: 930}
+	old, with := newFloodAt(30, 6, r), newFloodAt(30, 6, r)
+	old.oldLenders = true
+	old.run(30*clock.Second, demand, true)
+	with.run(30*clock.Second, demand, true)
+	t.Logf("urgent %.3f, was %.3f; bulk %.3f, was %.3f; all %d, was %d", with.share(urgent), old.share(urgent), with.share(bulk), old.share(bulk), len(with.times), len(old.times))
+	is.True(with.share(urgent) > old.share(urgent))
+	is.True(float64(len(with.times)) >= 0.98*float64(len(old.times)))
+	is.True(float64(with.most()) <= bounds.Allowed(r))
+}
+
 // TestBulkKeepsItsShare floods a limit with urgent requests alone beyond it. Bulk is admitted at least a quarter as
 // often, and is at least a tenth of all.
 func TestBulkKeepsItsShare(t *testing.T) {
@@ -179,6 +211,22 @@
 	is.Equal(f.tables[0].OrderChanges(), []limit.OrderChange{{Workspace: "w", Active: false}})
 }
 
+// TestOrderDuringARollOut replaces the processes of six nodes one after the other in a flood. Urgent requests still go
+// first, and the bound holds.
+func TestOrderDuringARollOut(t *testing.T) {
+	is := is.New(t)
+	f := newFlood(6, limit.Rate{PerSecond: 328, Burst: 328})
+	demand := map[uint32]float64{urgent: 120, bulk: 930}
+	for i := range f.tables {
+		f.run(2*clock.Second, demand, true)
+		f.tables[i] = limit.New(f.clock, bounds)
+	}
+	f.run(5*clock.Second, demand, true)
+	t.Logf("urgent %.3f, bulk %.3f", f.share(urgent), f.share(bulk))
+	is.True(f.share(urgent) >= 2*f.share(bulk))
+	is.True(float64(f.most()) <= bounds.Allowed(f.rate))
+}
+
 // TestOrderAfterAChangedLimit changes a limit in the middle of a flood.
 func TestOrderAfterAChangedLimit(t *testing.T) {
 	is := is.New(t)
--- a/limit/table.go
+++ b/limit/table.go
@@ -170,6 +170,9 @@
 	Workspace ident.Workspace
 	Amount    float64
 	Seq       uint64
+	// Priority is that of the requests that lack quota, if Ordered is set.
+	Priority uint32
+	Ordered  bool
 }
 
 // Take admits a request if the node has quota for it. It may return a loan request to send to other nodes, also when
@@ -251,12 +254,7 @@
 	now := t.clock.Now()
 	a, g := t.account(w, r, now)
 	a.decayDemand(now)
-	given := min(amount, a.ledger.balance(g, now)-a.reserve())
-	if !(given > minLoan) {
-		return 0
-	}
-	a.ledger.debit(g, given, now+loanTTL)
-	return given
+	return a.lend(g, amount, a.reserve(), now)
 }
 
 // AddLoan credits a loan that another node granted, once per lender and loan request.
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -242,6 +242,7 @@
 	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
 	n.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Borrow{Borrow: &tlv1.Borrow{
 		Node: string(n.self.Node), Address: n.settings().Node.PeersAddress(), Workspace: string(x.Workspace), Amount: x.Amount, Seq: x.Seq,
+		Priority: x.Priority, Ordered: x.Ordered,
 	}}}, append(near, far[:min(maxRemoteLenders, len(far))]...)...)
 }
 
@@ -255,7 +256,12 @@
 	if w == nil || !w.Rate.Bounded() {
 		return
 	}
-	amount := q.table.Lend(w.Name, w.Rate, b.GetAmount())
+	var amount float64
+	if b.GetOrdered() && q.node.settings().Balance.LimitOrder {
+		amount = q.table.LendInOrder(w.Name, w.Rate, b.GetAmount(), b.GetPriority())
+	} else {
+		amount = q.table.Lend(w.Name, w.Rate, b.GetAmount())
+	}
 	if amount == 0 {
 		return
 	}
