--- a/limit/account.go
+++ b/limit/account.go
@@ -35,6 +35,8 @@
 	seq                    uint64
 	// lenders have answered the last loan request.
 	lenders []ident.Node
+	// order is nil unless the limit is spent by priority.
+	order *order
 }
 
 // loan is quota received from another node.
@@ -105,3 +107,13 @@
 func (a *account) reserve() float64 {
 	return a.expected(reserveFor) + min(a.expected(clock.Second), 1)
 }
+
+// lend debits up to the amount for another node and returns it, less what is reserved.
+func (a *account) lend(g grant, amount, reserved float64, now clock.Millis) float64 {
+	given := min(amount, a.ledger.balance(g, now)-reserved)
+	if !(given > minLoan) {
+		return 0
+	}
+	a.ledger.debit(g, given, now+loanTTL)
+	return given
+}
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/access"
 	"github.com/tinladder/tinladder/clock"
+	"github.com/tinladder/tinladder/desired"
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/limit"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
@@ -20,16 +24,13 @@
 const (
 	// loanTimeout is how long a request waits for a loan from other nodes: several round trips between halls.
 	loanTimeout clock.Millis = 25
-	// startupLoanTimeout is the same on a process that has just started.
-	startupLoanTimeout clock.Millis = 300
+	// startupLoanTimeout is the same on a process that has just started. It is about the pause after which a refused
+	// caller would be back.
+	startupLoanTimeout = 1 * clock.Second
 	// maxRemoteLenders is how many nodes of other halls are asked for a loan, besides all sharers of this hall.
 	maxRemoteLenders = 6
-	// startupPeriod is how long after its start a process assumes that it does not know all nodes yet. isolationPeriod is how
-	// long one that should be in contact with others and is not considers itself isolated.
-	startupPeriod   = 2 * clock.Second
+	// isolationPeriod is how long a process that should be in contact with others and is not considers itself isolated.
 	isolationPeriod = 1 * clock.Minute
-	// settledPeriod is how long the number of live nodes must stay the same for all to be considered known.
-	settledPeriod clock.Millis = 350
 	// coldStartWindow is the maximum difference between the start times of processes that started together, by the clocks of
 	// their VMs. coldStartOldShare is the share of nodes that may have started earlier.
 	coldStartWindow   = 3 * clock.Second
@@ -46,10 +47,8 @@
 	// hasEnoughPeers reports whether this node was in contact with enough others to know its share, as of the last tick.
 	hasEnoughPeers atomic.Bool
 
-	mu sync.Mutex
-	// live is the number of live nodes at the last check, and liveChangedAt the time at which it last changed.
-	live          int
-	liveChangedAt clock.Millis
+	mu      sync.Mutex
+	startup *limit.Startup
 	// loanArrived is closed and replaced when a loan arrives.
 	loanArrived chan struct{}
 }
@@ -57,7 +56,7 @@
 func newQuotas(n *Node) *quotas {
 	w := n.settings().Workspaces
 	b := limit.Bounds{Window: w.Window.Millis(), Overshoot: w.Overshoot, Slack: w.Slack}
-	return &quotas{node: n, table: limit.New(n.clock, b), peakLive: recentMax{window: limitPeakNodesWindow}, loanArrived: make(chan struct{})}
+	return &quotas{node: n, table: limit.New(n.clock, b), peakLive: recentMax{window: limitPeakNodesWindow}, startup: limit.NewStartup(n.clock.Now()), loanArrived: make(chan struct{})}
 }
 
 // tick follows changes of the nodes that share the limits.
@@ -70,6 +69,9 @@
 			"live": v.Live, "known": v.PeakLive, "alone": v.Isolated, "young": v.JustStarted,
 		}).Info()
 	}
+	for _, c := range q.table.OrderChanges() {
+		q.node.log.WithFields(logrus.Fields{"event": "limit_order", "workspace": c.Workspace, "active": c.Active}).Info()
+	}
 }
 
 // view returns this node's view of the nodes that share the limits.
@@ -78,19 +80,20 @@
 	now := n.clock.Now()
 	live := len(n.members.Live()) + 1
 	sharing := n.carriers.sharers()
-	q.observeLive(live, now)
-	started := now-n.duty.startedAt < startupPeriod
+	started := now-n.duty.startedAt < limit.ColdStartPeriod
 	seeds, reached := q.seedsReached()
 	v := limit.View{
 		Seeds: seeds, SeedsReached: reached,
 		Sharers: nodeNames(sharing), IsSharer: n.isAmong(sharing),
 		SharerCount: len(sharing), Live: live, PeakLive: q.peakLive.observe(live, now),
-		Isolated: n.peers.isAlone() && now-n.duty.startedAt < isolationPeriod, JustStarted: q.justStarted(), ColdStart: started && q.isColdStart(),
+		Isolated: n.peers.isAlone() && now-n.duty.startedAt < isolationPeriod, ColdStart: started && q.isColdStart(),
 	}
 	if v.ReachedAllSeeds() {
 		q.reachedAllSeeds.Store(true)
 	}
-	return v
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.startup.Observe(v, now)
 }
 
 // seedsReached returns the number of configured seeds and how many of them are in contact. It returns 0, 0 once all have been
@@ -127,40 +130,76 @@
 	return float64(old) <= coldStartOldShare*float64(len(live))
 }
 
-// admit reports whether the workspace may make a request now. If not, it returns when to retry, and whether the limit is known
-// to be reached: a node that is in contact with too few others has no share of it.
-func (q *quotas) admit(ctx context.Context, w *access.Workspace) (admitted bool, wait clock.Millis, reached bool) {
+// A limitRefusal is why a workspace may not make a request now.
+type limitRefusal struct {
+	wait clock.Millis
+	// reached reports that the limit is known to be reached: a node that is in contact with too few others has no share
+	// of it. byOrder reports that what is left of it is for more urgent requests.
+	reached, byOrder bool
+}
+
+// admit returns nil if the workspace may make a request of the route now. A request waits for quota for a part of its
+// timeout at the most.
+func (q *quotas) admit(r *http.Request, w *access.Workspace, route *desired.Route) *limitRefusal {
 	if !w.Rate.Bounded() {
-		return true, 0, false
+		return nil
 	}
-	admitted, question := q.table.Take(w.Name, w.Rate)
+	inOrder := q.node.settings().Balance.LimitOrder
+	take, retry := q.table.Take, q.table.Retry
+	if inOrder {
+		x := limit.OrderedRequest{Priority: route.Priority, Caller: callerHash(r)}
+		take = func(name ident.Workspace, rate limit.Rate) (bool, *limit.LoanRequest) {
+			return q.table.TakeInOrder(name, rate, x)
+		}
+		retry = func(name ident.Workspace, rate limit.Rate) (bool, *limit.LoanRequest) {
+			return q.table.RetryInOrder(name, rate, x)
+		}
+	}
+	admitted, question := take(w.Name, w.Rate)
 	if question != nil {
 		q.requestLoan(question)
 	}
-	if admitted || q.waitForLoan(ctx, w) {
-		return true, 0, false
+	if admitted || q.waitForLoan(r.Context(), w, route.Timeout/limitPatience, retry) {
+		return nil
+	}
+	refusal := &limitRefusal{reached: q.hasEnoughPeers.Load()}
+	if inOrder {
+		refusal.wait, refusal.byOrder = q.table.RefuseInOrder(w.Name, w.Rate)
+	} else {
+		refusal.wait = q.table.Refuse(w.Name, w.Rate)
 	}
-	return false, q.table.Refuse(w.Name, w.Rate), q.hasEnoughPeers.Load()
+	return refusal
+}
+
+// callerHash returns a hash of the caller's address without its port.
+func callerHash(r *http.Request) uint64 {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		host = r.RemoteAddr
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(host))
+	return h.Sum64()
 }
 
 // waitForLoan waits for a loan that was requested just now. A process that has just started waits longer, since it discovers
 // the other nodes one by one.
-func (q *quotas) waitForLoan(ctx context.Context, w *access.Workspace) bool {
+func (q *quotas) waitForLoan(ctx context.Context, w *access.Workspace, patience clock.Millis, retry func(ident.Workspace, limit.Rate) (bool, *limit.LoanRequest)) bool {
 	wait := loanTimeout
-	if q.justStarted() {
-		wait = startupLoanTimeout
+	if q.isStarting() {
+		wait = max(loanTimeout, min(startupLoanTimeout, patience))
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
 	for ctx.Err() == nil {
 		came := q.loanArrival()
-		admitted, question := q.table.Retry(w.Name, w.Rate)
+		admitted, question := retry(w.Name, w.Rate)
 		switch {
 		case admitted:
 			return true
 		case question != nil:
 			q.requestLoan(question)
-		case !q.justStarted() && !q.table.LoanPending(w.Name, loanTimeout):
+		case !q.isStarting() && !q.table.LoanPending(w.Name, loanTimeout):
 			return false
 		}
 		select {
@@ -169,26 +208,15 @@
 		case <-time.After(loanTimeout.Duration()):
 		}
 	}
-	admitted, _ := q.table.Retry(w.Name, w.Rate)
+	admitted, _ := retry(w.Name, w.Rate)
 	return admitted
 }
 
-// justStarted reports whether this process started recently and may not know all nodes yet: the number of live nodes has
-// not settled.
-func (q *quotas) justStarted() bool {
+// isStarting reports whether this process started recently and may not know all nodes yet.
+func (q *quotas) isStarting() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.node.clock.Now()
-	return now-q.node.duty.startedAt < startupPeriod && now-q.liveChangedAt < settledPeriod
-}
-
-// observeLive records the number of live nodes.
-func (q *quotas) observeLive(live int, now clock.Millis) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if live != q.live {
-		q.live, q.liveChangedAt = live, now
-	}
+	return q.startup.IsStarting(q.node.clock.Now())
 }
 
 // loanArrival returns a channel that is closed when the next loan arrives.
@@ -214,6 +242,7 @@
 	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
 	n.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Borrow{Borrow: &tlv1.Borrow{
 		Node: string(n.self.Node), Address: n.settings().Node.PeersAddress(), Workspace: string(x.Workspace), Amount: x.Amount, Seq: x.Seq,
+		Priority: x.Priority, Ordered: x.Ordered,
 	}}}, append(near, far[:min(maxRemoteLenders, len(far))]...)...)
 }
 
@@ -227,7 +256,12 @@
 	if w == nil || !w.Rate.Bounded() {
 		return
 	}
-	amount := q.table.Lend(w.Name, w.Rate, b.GetAmount())
+	var amount float64
+	if b.GetOrdered() && q.node.settings().Balance.LimitOrder {
+		amount = q.table.LendInOrder(w.Name, w.Rate, b.GetAmount(), b.GetPriority())
+	} else {
+		amount = q.table.Lend(w.Name, w.Rate, b.GetAmount())
+	}
 	if amount == 0 {
 		return
 	}
