--- a/pool/event.go
+++ b/pool/event.go
@@ -4,6 +4,7 @@
 	"github.com/tinladder/tinladder/belief"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/pool/urgency"
 )
 
 // EventKind is a kind of change in what is known of a target.
@@ -29,11 +30,13 @@
 	TargetsCutOff
 	// TargetsReached means that this node reaches the service's targets again.
 	TargetsReached
+	// LevelChanged means that the service admits requests by another level of urgency, or all again.
+	LevelChanged
 )
 
 // String returns the kind's name in logs.
 func (k EventKind) String() string {
-	return [...]string{"target_avoided", "target_returned", "target_left", "target_unreachable", "target_limited", "target_unlimited", "target_rests", "targets_cut_off", "targets_reached"}[k]
+	return [...]string{"target_avoided", "target_returned", "target_left", "target_unreachable", "target_limited", "target_unlimited", "target_rests", "targets_cut_off", "targets_reached", "level_changed"}[k]
 }
 
 // Event is one change in what is known of a target.
@@ -46,6 +49,8 @@
 	PerSecond float64
 	// Rest is the time that the target asked for, for TargetRests.
 	Rest clock.Millis
+	// Level is the level of urgency, for LevelChanged.
+	Level urgency.State
 	// By names the node that reported the change; it is empty if this node observed it.
 	By ident.Node
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -10,6 +10,7 @@
 	"github.com/tinladder/tinladder/belief"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/pool/urgency"
 )
 
 // ErrNoTarget means that no target may take the request.
@@ -19,6 +20,8 @@
 type BusyError struct {
 	RetryAfter clock.Millis
 	Reason     string
+	// ByUrgency says that the service admits only more urgent requests at present.
+	ByUrgency bool
 }
 
 // Error implements error.
@@ -208,17 +211,24 @@
 	wokeAt clock.Millis
 	reach  reach
 	events []Event
+	// urgency decides whom the service admits while it lacks room; nil if all.
+	urgency  *urgency.Control
+	levelLog levelLog
 }
 
 // New returns a pool without targets.
 func New(t Tuning, c clock.Clock, r *rand.Rand, b *RetryBudget, onChange func(n ChangeKind, of ident.Hall), onEvent func(Event)) *Pool {
-	return &Pool{
+	p := &Pool{
 		clock: c, rand: r, tuning: t, budget: b, onChange: onChange, onEvent: onEvent,
 		targets: map[ident.Target]*target{}, waiting: newWaitList(), serviceTime: float64(t.FirstServiceTime), failTime: float64(t.FirstServiceTime),
 		ended: newWindow(t.TroubleWindow), started: newWindow(t.TroubleWindow), peerTallies: map[ident.Process]peerTally{},
 		limitShare: 1, formerStates: map[ident.Target]namedState{},
 		reach: newReach(),
 	}
+	if t.UrgencyLevel {
+		p.urgency = urgency.New(t.PeerTTL, r.Float64)
+	}
+	return p
 }
 
 // Hedges reports whether a second attempt may be made beside a slow one.
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -38,7 +38,7 @@
 		p.mu.Unlock()
 		return l, err
 	}
-	w := &waiter{request: a, granted: make(chan grant, 1)}
+	w := &waiter{request: a, granted: make(chan grant, 1), since: p.clock.Now()}
 	p.waiting.insert(w)
 	until := p.giveUpAt(a)
 	p.mu.Unlock()
@@ -66,8 +66,12 @@
 	if !p.anyUsable(a) {
 		return nil, p.noTargetError(a)
 	}
+	if err := p.checkUrgency(a); err != nil {
+		return nil, err
+	}
 	if p.waiting.isNext(a) {
 		if c := p.choose(a, false); c.target != nil {
+			p.recordWait(a, 0)
 			return p.lease(c, p.clock.Now()), nil
 		}
 	}
@@ -224,6 +228,7 @@
 	c := p.choose(w.request, w.mayOvercommit)
 	switch {
 	case c.target != nil:
+		p.recordWait(w.request, p.clock.Now()-w.since)
 		g = grant{waiter: w, lease: p.lease(c, p.clock.Now())}
 	case !p.anyUsable(w.request):
 		g = grant{waiter: w, err: p.noTargetError(w.request)}
--- a/pool/share.go
+++ b/pool/share.go
@@ -58,7 +58,7 @@
 // report returns a report on the targets that include selects, or nil if it is empty.
 func (p *Pool) report(now clock.Millis, whole bool, include func(t *target) bool) *tlv1.Report {
 	ended := p.ended.sum(now)
-	r := &tlv1.Report{Whole: whole, Asked: uint32(ended.asked), Unserved: uint32(ended.unserved), Failed: uint32(ended.failed), CutOff: p.reach.cutOff}
+	r := &tlv1.Report{Whole: whole, Asked: uint32(ended.asked), Unserved: uint32(ended.unserved), Failed: uint32(ended.failed), CutOff: p.reach.cutOff, Lack: p.reportedLack()}
 	for _, t := range p.order {
 		if include(t) {
 			r.Seen = append(r.Seen, p.seen(t, now))
@@ -134,6 +134,7 @@
 	now := p.clock.Now()
 	p.peerTallies[from] = peerTally{tally: tally{asked: int(r.GetAsked()), unserved: int(r.GetUnserved()), failed: int(r.GetFailed())}, at: now}
 	p.reach.applyReport(from, r.GetCutOff())
+	p.applyReportedLack(from, r, now)
 	for _, s := range r.GetSeen() {
 		if t := p.targets[ident.Target(s.GetTarget())]; t != nil && !t.otherLife(s, now) {
 			p.applySeen(t, from, s, now)
--- a/pool/throttled.go
+++ b/pool/throttled.go
@@ -134,6 +134,7 @@
 	p.mu.Lock()
 	now := p.clock.Now()
 	p.drainIdleLimits(now)
+	p.updateUrgency(now)
 	changed := p.updateReach(now)
 	ready := p.reach.cutOff // those that wait are refused
 	if p.waiting.len() > 0 {
--- a/pool/waiting.go
+++ b/pool/waiting.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"iter"
+
+	"github.com/tinladder/tinladder/clock"
 )
 
 // A waiter is a request that waits for a slot.
@@ -10,6 +12,8 @@
 	request *Request
 	granted chan grant
 	element *list.Element
+	// since is when it was queued.
+	since clock.Millis
 	// mayOvercommit says that the waiter may be given to a target's own queue.
 	mayOvercommit bool
 }
