--- a/pool/choose.go
+++ b/pool/choose.go
@@ -30,6 +30,8 @@
 	Exclude []ident.Target
 	// Halls limits the request to targets in these halls; nil allows all.
 	Halls map[ident.Hall]bool
+	// draw decides whether a level of urgency that admits a part of the requests admits this one.
+	draw float64
 }
 
 // eligible reports whether the request may go to the target, now or later.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -226,7 +226,7 @@
 		reach: newReach(),
 	}
 	if t.UrgencyLevel {
-		p.urgency = urgency.New(t.PeerTTL, r.Float64)
+		p.urgency = urgency.New(t.PeerTTL)
 	}
 	return p
 }
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -71,7 +71,7 @@
 	}
 	if p.waiting.isNext(a) {
 		if c := p.choose(a, false); c.target != nil {
-			p.recordWait(a, 0)
+			p.recordGrant(a, 0)
 			return p.lease(c, p.clock.Now()), nil
 		}
 	}
@@ -228,7 +228,7 @@
 	c := p.choose(w.request, w.mayOvercommit)
 	switch {
 	case c.target != nil:
-		p.recordWait(w.request, p.clock.Now()-w.since)
+		p.recordGrant(w.request, p.clock.Now()-w.since)
 		g = grant{waiter: w, lease: p.lease(c, p.clock.Now())}
 	case !p.anyUsable(w.request):
 		g = grant{waiter: w, err: p.noTargetError(w.request)}
--- a/pool/urgency/rates.go
+++ b/pool/urgency/rates.go
@@ -12,6 +12,9 @@
 	// rate is how many come a second, arrived how many came since the last interval.
 	rate    float64
 	arrived int
+	// waits is the sum of the waits since then, waited how many there are.
+	waits  float64
+	waited int
 }
 
 // Rates are the requests that come, by priority, the most urgent first.
@@ -52,19 +55,34 @@
 	return &r.kinds[i]
 }
 
-func (r *Rates) count(priority uint32) {
-	r.at(priority).arrived++
+// meanWait returns the mean of the waits since the last interval, each weighted by the fraction of its priority.
+func (r *Rates) meanWait(fraction func(priority uint32) float64) float64 {
+	sum, n := 0.0, 0.0
+	for _, k := range r.kinds[:r.n] {
+		f := fraction(k.priority)
+		sum, n = sum+f*k.waits, n+f*float64(k.waited)
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / n
+}
+
+// firstWait returns the mean wait of the most urgent requests.
+func (r *Rates) firstWait() float64 {
+	if r.n == 0 || r.kinds[0].waited == 0 {
+		return 0
+	}
+	return r.kinds[0].waits / float64(r.kinds[0].waited)
 }
 
 // close ends an interval.
 func (r *Rates) close() {
 	n := 0
 	for _, k := range r.kinds[:r.n] {
-		perSecond := float64(k.arrived) * float64(1000/Interval)
-		k.rate += rateSmoothing * (perSecond - k.rate)
+		k.rate += rateSmoothing * (perSecond(k.arrived) - k.rate)
 		if k.arrived > 0 || k.rate >= leastRate {
-			k.arrived = 0
-			r.kinds[n] = k
+			r.kinds[n] = kind{priority: k.priority, rate: k.rate}
 			n++
 		}
 	}
--- a/pool/urgency/urgency.go
+++ b/pool/urgency/urgency.go
@@ -21,25 +21,32 @@
 	maxLag = 2 * clock.Second
 	// maxWait bounds the wait of a request, as a multiple of what its objective allows.
 	maxWait = 2
-	// ownTarget and fleetTarget are the waits that this node's and the fleet's shares are moved toward. The fleet's is
-	// lower: a wait that is halfway to the bound can be acted on before requests are late.
-	ownTarget, fleetTarget = 1, 0.5
+	// fleetTarget is the wait that the share is moved toward, and at which a lack begins: halfway to what objectives
+	// allow, it can be acted on before requests are late. ownTarget is that of this node's most urgent requests.
+	fleetTarget, ownTarget = 0.5, 1
 	// gain is the part of a share by which a miss of one moves it in one update: at the longest wait a share halves in
 	// a quarter of a second, without any it doubles in three quarters.
 	gain = 0.2
+	// roomGain is by how much the share grows in one update while slots are free and hardly anything waits.
+	roomGain = 0.3
 	// pull is the part of the way to the other nodes' share that this node's moves in one update.
 	pull = 0.25
 	// minShare is the least share of the requests that is admitted, and the least that a peer may claim.
 	minShare = 0.1
+	// drain is the least that is admitted of what the targets take: the rest of them takes what is queued.
+	drain = 0.9
 	// keptShare is the part of the admitted share that the least urgent keep: somewhat more than the quarter below which
 	// a kind of request counts as starved, since some of what is admitted fails.
 	keptShare = 0.3
-	// smoothing is what one interval counts in the mean wait, rateSmoothing in the rates of arrivals.
+	// smoothing is what one interval counts in the mean wait, rateSmoothing in rates.
 	smoothing, rateSmoothing = 0.5, 0.3
 	// maxRetryAfter is how long callers are told to wait at most: a lack is expected to last as long again as it has.
 	minRetryAfter, maxRetryAfter clock.Millis = 500, 3000
 	// maxPeers bounds the peers that are remembered.
 	maxPeers = 1024
+	// Peers' waits count from when this share of the slots is in use, until it is below the other: reports of requests
+	// that ended are under way.
+	fullAbove, fullBelow = 0.85, 0.7
 )
 
 // A Claim is what a node tells others of its lack of room.
@@ -48,6 +55,8 @@
 	Wait float64
 	// Share is the share of the requests that it takes to be admitted.
 	Share float64
+	// Granted is how many of its requests get a slot, a second.
+	Granted float64
 	// Arrivals are the requests that come to it.
 	Arrivals Rates
 }
@@ -88,44 +97,62 @@
 	own Rates
 	// peers are in the order of their names: sums over them are the same at each run.
 	peers []peer
-	// share is admitted by the joined waits of the fleet, alone by this node's own.
+	// share is the share of the fleet's requests that is admitted, alone that of this node's most urgent ones by their
+	// own wait.
 	share, alone float64
-	on           bool
+	on, full     bool
 	since        clock.Millis
 	level        Level
-	wait         float64
-	// sum and count are of the waits since the last update.
-	sum     float64
-	count   int
+	// wait is the mean wait of the requests that the level admits, firstWait that of the most urgent ones.
+	wait, firstWait float64
+	// granted is how many requests get a slot, a second, grants how many got one since the last interval.
+	granted float64
+	grants  int
 	pressed int
-	// ownPressed counts the updates in a row in which this node's own requests waited too long.
-	ownPressed int
-	updated    clock.Millis
-	peersWait  float64
-	peersAge   clock.Millis
+	updated clock.Millis
+	// peersWait and peersAge are for operators.
+	peersWait float64
+	peersAge  clock.Millis
 }
 
-// New returns a control that admits all. Claims of peers count for the ttl; random returns numbers in [0, 1).
-func New(ttl clock.Millis, random func() float64) *Control {
-	return &Control{ttl: ttl, random: random, share: 1, alone: 1, peersAge: -1}
+// New returns a control that admits all. Claims of peers count for the ttl.
+func New(ttl clock.Millis) *Control {
+	return &Control{ttl: ttl, share: 1, alone: 1, peersAge: -1}
 }
 
-// Admit counts a request that has arrived, and reports whether it is admitted.
-func (c *Control) Admit(priority uint32) bool {
-	c.own.count(priority)
-	if !c.on || priority < c.level.Priority {
-		return true
-	}
-	if priority == c.level.Priority {
-		return c.random() < c.level.Fraction
+// Arrived counts a request that has arrived.
+func (c *Control) Arrived(priority uint32) {
+	c.own.at(priority).arrived++
+}
+
+// Admits reports whether a request is admitted; draw is its own random number in [0, 1). One that is admitted while it
+// arrives may not be any more while it is queued.
+func (c *Control) Admits(priority uint32, draw float64) bool {
+	return draw < c.fraction(priority)
+}
+
+// fraction returns how many of the requests of a priority are admitted.
+func (c *Control) fraction(priority uint32) float64 {
+	switch {
+	case !c.on || priority < c.level.Priority:
+		return 1
+	case priority == c.level.Priority:
+		return c.level.Fraction
 	}
-	return c.random() < c.level.Rest
+	return c.level.Rest
+}
+
+// Granted records that a request got a slot after a wait, as a multiple of what its objective allows.
+func (c *Control) Granted(priority uint32, wait float64) {
+	c.grants++
+	c.Waiting(priority, wait)
 }
 
-// Waited records how long a request waited for a slot, as a multiple of what its objective allows.
-func (c *Control) Waited(wait float64) {
-	c.sum += bounded(wait, 0, maxWait)
-	c.count++
+// Waiting records how long a request that is still queued has waited.
+func (c *Control) Waiting(priority uint32, wait float64) {
+	k := c.own.at(priority)
+	k.waits += bounded(wait, 0, maxWait)
+	k.waited++
 }
 
 // Due reports whether an update is due.
@@ -133,79 +160,73 @@
 	return now-c.updated >= Interval
 }
 
-// Update moves the level. Before it the waits of the requests that are still queued are to be recorded; full says that
-// nearly all slots are in use: else the peers' claims don't count.
-func (c *Control) Update(now clock.Millis, full bool) {
+// Update moves the level. Before it the waits of the requests that are still queued are to be recorded; inUse is the share
+// of the slots in use.
+func (c *Control) Update(now clock.Millis, inUse float64) {
 	if now-c.updated > maxLag {
 		c.reset(now)
 		return
 	}
-	mean := 0.0
-	if c.count > 0 {
-		mean = c.sum / float64(c.count)
-	}
-	c.sum, c.count = 0, 0
+	c.full = inUse >= fullAbove || c.full && inUse >= fullBelow
+	wait, firstWait := c.own.meanWait(c.fraction), c.own.firstWait()
 	for ; c.updated+Interval <= now; c.updated += Interval {
-		c.wait += smoothing * (mean - c.wait)
+		c.wait += smoothing * (wait - c.wait)
+		c.firstWait += smoothing * (firstWait - c.firstWait)
+		c.granted += rateSmoothing * (perSecond(c.grants) - c.granted)
+		c.grants = 0
 		c.own.close()
-		c.step(c.updated+Interval, full)
+		c.step(c.updated + Interval)
 	}
 }
 
-// reset forgets what was seen before a gap.
-func (c *Control) reset(now clock.Millis) {
-	c.own = Rates{}
-	c.turnOff()
-	c.wait, c.sum, c.count, c.pressed, c.ownPressed, c.updated = 0, 0, 0, 0, 0, now
+// perSecond returns the rate at which so many came in an interval.
+func perSecond(n int) float64 {
+	return float64(n) * float64(clock.Second/Interval)
 }
 
-func (c *Control) turnOff() {
-	c.on, c.share, c.alone, c.level = false, 1, 1, Level{}
+// reset forgets what was seen before a gap.
+func (c *Control) reset(now clock.Millis) {
+	*c = Control{ttl: c.ttl, peers: c.peers, share: 1, alone: 1, peersAge: -1, updated: now}
 }
 
 // step moves the shares once.
-func (c *Control) step(now clock.Millis, full bool) {
-	j := c.join(now, full)
+func (c *Control) step(now clock.Millis) {
+	j := c.join(now)
 	c.peersWait, c.peersAge = j.peersWait, j.age
-	c.pressed, c.ownPressed = inARow(c.pressed, j.wait), inARow(c.ownPressed, c.wait)
+	taken := drain * j.granted / max(j.rates.total(), 1) // share of the requests that the targets take
+	if j.wait >= fleetTarget {
+		c.pressed++
+	} else {
+		c.pressed = 0
+	}
 	if !c.on {
-		if j.rates.n < 2 || max(c.pressed, c.ownPressed) < lasting {
+		if j.rates.n < 2 || c.pressed < lasting {
 			return
 		}
-		c.on, c.since = true, now
+		c.on, c.since, c.share = true, now, bounded(taken, minShare, 1)
 	}
-	c.share = moved(c.share, fleetTarget-j.wait)
-	if j.weight > 0 {
-		c.share += pull * (j.share - c.share)
-	}
-	c.alone = moved(c.alone, ownTarget-c.wait)
-	if j.rates.n < 2 || c.share >= 1 && c.alone >= 1 {
-		c.turnOff()
+	c.moveShare(&j, taken)
+	c.alone = bounded(c.alone*(1+gain*(ownTarget-c.firstWait)), minShare, 1)
+	if j.rates.n < 2 || c.share >= 1 {
+		c.on, c.share, c.alone = false, 1, 1
 		return
 	}
-	c.setLevel(&j.rates)
-}
-
-func inARow(n int, wait float64) int {
-	if wait < ownTarget {
-		return 0
+	c.level = j.rates.level(c.share)
+	if first := j.rates.kinds[0].priority; c.level.Priority == first { // refused by their own wait alone
+		c.level.Fraction = c.alone
 	}
-	return n + 1
-}
-
-func moved(share, miss float64) float64 {
-	return bounded(share*(1+gain*miss), minShare, 1)
 }
 
-// setLevel sets the level for the arrivals. The most urgent requests are refused by this node's own wait alone.
-func (c *Control) setLevel(r *Rates) {
-	c.level = r.level(min(c.share, c.alone))
-	if first := r.kinds[0].priority; c.level.Priority == first {
-		c.level.Fraction = 1
-		if own := r.level(c.alone); own.Priority == first {
-			c.level.Fraction = own.Fraction
-		}
+func (c *Control) moveShare(j *joined, taken float64) {
+	change := gain * (fleetTarget - j.wait)
+	if !c.full && change > 0 {
+		change = roomGain
+	}
+	c.share *= 1 + change
+	if j.weight > 0 {
+		c.share += pull * (j.share - c.share)
 	}
+	c.share = bounded(max(c.share, taken), minShare, 1)
 }
 
 // joined is what this node and its peers see.
@@ -214,34 +235,34 @@
 	wait, peersWait float64
 	// share is the peers' mean share, and weight what it counts; 0 if no peer does.
 	share, weight float64
-	rates         Rates
-	age           clock.Millis
+	// granted is how many requests get a slot, a second.
+	granted float64
+	rates   Rates
+	age     clock.Millis
 }
 
-func (c *Control) join(now clock.Millis, full bool) joined {
-	j := joined{wait: c.wait, rates: c.own, age: -1}
+func (c *Control) join(now clock.Millis) joined {
 	c.peers = slices.DeleteFunc(c.peers, func(p peer) bool { return now-p.at >= c.ttl })
-	total := c.own.total()
+	j := joined{wait: c.wait, granted: c.granted, rates: c.own, age: -1}
+	own, total := c.admitted(&c.own), c.own.total()
 	for i := range c.peers {
 		total += c.peers[i].Arrivals.total()
 	}
-	if !full {
-		return j
-	}
-	own := c.admitted(&c.own)
 	for i := range c.peers {
 		p := &c.peers[i]
-		age := max(now-p.at, 0)
-		arrivals := p.Arrivals.total()
+		arrivals, age := p.Arrivals.total(), max(now-p.at, 0)
 		part := bounded((total-arrivals)/max(arrivals, 1), 0, 1) // no node counts more than all others together
 		j.rates.add(&p.Arrivals, part)
-		weight := part * c.admitted(&p.Arrivals) * (1 - float64(age)/float64(c.ttl))
-		j.weight += weight
-		j.peersWait += weight * p.Wait
-		j.share += weight * p.Share
+		j.granted += part * min(p.Granted, arrivals)
 		if j.age < 0 || age < j.age {
 			j.age = age
 		}
+		if c.full { // else there is room, whatever peers say
+			weight := part * c.admitted(&p.Arrivals) * (1 - float64(age)/float64(c.ttl))
+			j.weight += weight
+			j.peersWait += weight * p.Wait
+			j.share += weight * p.Share
+		}
 	}
 	if j.weight > 0 {
 		j.wait = (own*c.wait + j.peersWait) / (own + j.weight)
@@ -255,14 +276,7 @@
 func (c *Control) admitted(r *Rates) float64 {
 	sum := 0.0
 	for _, k := range r.kinds[:r.n] {
-		switch {
-		case !c.on || k.priority < c.level.Priority:
-			sum += k.rate
-		case k.priority == c.level.Priority:
-			sum += k.rate * c.level.Fraction
-		default:
-			sum += k.rate * c.level.Rest
-		}
+		sum += k.rate * c.fraction(k.priority)
 	}
 	return sum
 }
@@ -289,25 +303,25 @@
 }
 
 func (c *Claim) wellFormed() bool {
-	sum := c.Wait + c.Share + c.Arrivals.total()
-	return c.Arrivals.n > 0 && !math.IsNaN(sum) && !math.IsInf(sum, 0) && c.Wait >= 0 && c.Share >= 0
+	sum := c.Wait + c.Share + c.Granted + c.Arrivals.total()
+	return c.Arrivals.n > 0 && !math.IsNaN(sum) && !math.IsInf(sum, 0) && c.Wait >= 0 && c.Share >= 0 && c.Granted >= 0
 }
 
 // Claim returns what to tell the peers, if this node sees a lack.
 func (c *Control) Claim() (claim Claim, lacks bool) {
-	return Claim{Wait: c.wait, Share: c.share, Arrivals: c.own}, (c.on || c.pressed > 0 || c.ownPressed > 0) && c.own.n > 0
+	return Claim{Wait: c.wait, Share: c.share, Granted: c.granted, Arrivals: c.own}, (c.on || c.pressed > 0) && c.own.n > 0
 }
 
 // RetryAfter returns when a request that was refused may be admitted: a lack is expected to last as long again as it has,
 // and the share to take its time to return.
 func (c *Control) RetryAfter(now clock.Millis) clock.Millis {
-	back := -math.Log(min(c.share, c.alone)) / math.Log1p(gain*fleetTarget) * float64(Interval)
+	back := -math.Log(c.share) / math.Log1p(gain*fleetTarget) * float64(Interval)
 	return bounded(max(now-c.since, clock.Millis(back)), minRetryAfter, maxRetryAfter)
 }
 
 // State returns what there is to see of the level.
 func (c *Control) State() State {
-	return State{On: c.on, Level: c.level, Share: min(c.share, c.alone), Wait: c.wait, PeersWait: c.peersWait, PeersAge: c.peersAge}
+	return State{On: c.on, Level: c.level, Share: c.share, Wait: c.wait, PeersWait: c.peersWait, PeersAge: c.peersAge}
 }
 
 func bounded[T float64 | clock.Millis](x, least, most T) T {
--- a/pool/urgency_level.go
+++ b/pool/urgency_level.go
@@ -12,10 +12,6 @@
 // The load pattern: a service lacks room and its callers are spread unevenly, so that one node turns urgent requests away
 // while another takes less urgent ones (docs/design/22-urgency-level.md).
 
-// nearlyFull is the share of the slots in use from which on peers' claims of a lack count: reports of requests that ended
-// are under way.
-const nearlyFull = 0.85
-
 // checkUrgency returns an error if the service admits only more urgent requests at present. A request that has been at a
 // target was admitted.
 func (p *Pool) checkUrgency(a *Request) error {
@@ -24,17 +20,23 @@
 	}
 	now := p.clock.Now()
 	p.updateUrgency(now)
-	if p.urgency.Admit(a.Priority) {
+	p.urgency.Arrived(a.Priority)
+	a.draw = p.rand.Float64()
+	if p.urgency.Admits(a.Priority, a.draw) {
 		return nil
 	}
+	return p.lessUrgentError(now)
+}
+
+func (p *Pool) lessUrgentError(now clock.Millis) error {
 	retry := max(p.spreadRetry(float64(p.urgency.RetryAfter(now))), minRetryAfter)
 	return &BusyError{RetryAfter: retry, Reason: "the service admits only more urgent requests at present", ByUrgency: true}
 }
 
-// recordWait records for how long a request waited for a slot.
-func (p *Pool) recordWait(a *Request, wait clock.Millis) {
-	if p.urgency != nil {
-		p.urgency.Waited(p.relativeWait(a, wait))
+// recordGrant records that a request gets a slot after a wait.
+func (p *Pool) recordGrant(a *Request, wait clock.Millis) {
+	if p.urgency != nil && len(a.Exclude) == 0 {
+		p.urgency.Granted(a.Priority, p.relativeWait(a, wait))
 	}
 }
 
@@ -43,15 +45,23 @@
 	return float64(wait) / max(p.tuning.Hold*float64(a.Objective), 1)
 }
 
-// updateUrgency moves the level if that is due.
+// updateUrgency moves the level if that is due, and refuses the waiters that it does not admit any more.
 func (p *Pool) updateUrgency(now clock.Millis) {
 	if p.urgency == nil || !p.urgency.Due(now) {
 		return
 	}
 	for w := range p.waiting.all() {
-		p.recordWait(w.request, now-w.since)
+		p.urgency.Waiting(w.request.Priority, p.relativeWait(w.request, now-w.since))
+	}
+	p.urgency.Update(now, p.utilization(now))
+	var refused []grant
+	for w := range p.waiting.all() {
+		if a := w.request; len(a.Exclude) == 0 && !p.urgency.Admits(a.Priority, a.draw) {
+			p.waiting.remove(w)
+			refused = append(refused, grant{waiter: w, err: p.lessUrgentError(now)})
+		}
 	}
-	p.urgency.Update(now, p.utilization(now) >= nearlyFull)
+	deliver(refused)
 	if s := p.urgency.State(); p.levelLog.due(s, now) {
 		p.addEvent(Event{Kind: LevelChanged, Level: s})
 	}
@@ -92,7 +102,7 @@
 	if !lacks {
 		return nil
 	}
-	l := &tlv1.Lack{Wait: uint32(c.Wait * permille), Share: uint32(c.Share * permille)}
+	l := &tlv1.Lack{Wait: uint32(c.Wait * permille), Share: uint32(c.Share * permille), Granted: uint32(c.Granted * tenths)}
 	c.Arrivals.Each(func(priority uint32, perSecond float64) {
 		l.Arrivals = append(l.Arrivals, &tlv1.Arrivals{Rank: priority, PerSecond: uint32(min(math.Ceil(perSecond*tenths), math.MaxUint32))})
 	})
@@ -108,8 +118,9 @@
 		p.urgency.Hear(from, r.GetSeq(), nil, now)
 		return
 	}
-	c := urgency.Claim{Wait: float64(r.GetLack().GetWait()) / permille, Share: float64(r.GetLack().GetShare()) / permille}
-	for i, a := range r.GetLack().GetArrivals() {
+	l := r.GetLack()
+	c := urgency.Claim{Wait: float64(l.GetWait()) / permille, Share: float64(l.GetShare()) / permille, Granted: float64(l.GetGranted()) / tenths}
+	for i, a := range l.GetArrivals() {
 		if i < urgency.MaxKinds {
 			c.Arrivals.Add(a.GetRank(), float64(a.GetPerSecond())/tenths)
 		}
