--- a/pool/urgency/urgency.go
+++ b/pool/urgency/urgency.go
@@ -33,8 +33,9 @@
 	pull = 0.25
 	// minShare is the least share of the requests that is admitted, and the least that a peer may claim.
 	minShare = 0.1
-	// drain is the least that is admitted of what the targets take: the rest of them takes what is queued.
-	drain = 0.9
+	// drain and most bound what is admitted while all slots are in use, as a multiple of what the targets take: a tenth
+	// less empties the queues, a tenth more finds out whether they take more.
+	drain, most = 0.9, 1.1
 	// keptShare is the part of the admitted share that the least urgent keep: somewhat more than the quarter below which
 	// a kind of request counts as starved, since some of what is admitted fails.
 	keptShare = 0.3
@@ -193,7 +194,7 @@
 func (c *Control) step(now clock.Millis) {
 	j := c.join(now)
 	c.peersWait, c.peersAge = j.peersWait, j.age
-	taken := drain * j.granted / max(j.rates.total(), 1) // share of the requests that the targets take
+	taken := j.granted / max(j.rates.total(), 1) // share of the requests that the targets take
 	if j.wait >= fleetTarget {
 		c.pressed++
 	} else {
@@ -203,7 +204,7 @@
 		if j.rates.n < 2 || c.pressed < lasting {
 			return
 		}
-		c.on, c.since, c.share = true, now, bounded(taken, minShare, 1)
+		c.on, c.since, c.share = true, now, 1
 	}
 	c.moveShare(&j, taken)
 	c.alone = bounded(c.alone*(1+gain*(ownTarget-c.firstWait)), minShare, 1)
@@ -226,7 +227,10 @@
 	if j.weight > 0 {
 		c.share += pull * (j.share - c.share)
 	}
-	c.share = bounded(max(c.share, taken), minShare, 1)
+	if c.full {
+		c.share = min(c.share, most*taken)
+	}
+	c.share = bounded(max(c.share, drain*taken), minShare, 1)
 }
 
 // joined is what this node and its peers see.
--- a/pool/urgency_level.go
+++ b/pool/urgency_level.go
@@ -12,6 +12,10 @@
 // The load pattern: a service lacks room and its callers are spread unevenly, so that one node turns urgent requests away
 // while another takes less urgent ones (docs/design/22-urgency-level.md).
 
+// earlyRefusal is the share of its objective within which a request that waits may be refused by the level: its caller has
+// time to come again. Later it keeps its place.
+const earlyRefusal = 0.25
+
 // checkUrgency returns an error if the service admits only more urgent requests at present. A request that has been at a
 // target was admitted.
 func (p *Pool) checkUrgency(a *Request) error {
@@ -56,7 +60,9 @@
 	p.urgency.Update(now, p.utilization(now))
 	var refused []grant
 	for w := range p.waiting.all() {
-		if a := w.request; len(a.Exclude) == 0 && !p.urgency.Admits(a.Priority, a.draw) {
+		a := w.request
+		early := float64(now-w.since) <= earlyRefusal*float64(a.Objective)
+		if early && len(a.Exclude) == 0 && !p.urgency.Admits(a.Priority, a.draw) {
 			p.waiting.remove(w)
 			refused = append(refused, grant{waiter: w, err: p.lessUrgentError(now)})
 		}
