--- a/node/answer.go
+++ b/node/answer.go
@@ -175,6 +175,9 @@
 	switch {
 	case errors.As(err, &busy):
 		c, p.Detail, p.RetryAfter = causeQueue, busy.Reason, busy.RetryAfter
+		if busy.ByUrgency {
+			x.node.metrics.refusedByLevel(x.priority())
+		}
 	case x.lastShed:
 		c = causeShed
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -5,6 +5,7 @@
 	"io"
 	stdlog "log"
 	"net/http"
+	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
@@ -88,6 +89,14 @@
 	m.set.NewGauge("tinladder_targets", func() float64 { return float64(n.services.count()) })
 	m.set.NewGauge("tinladder_targets_ready", sum(func(s pool.Stats) int { return s.Targets }))
 	m.set.NewGauge("tinladder_targets_usable", sum(func(s pool.Stats) int { return s.Usable }))
+	m.set.NewGauge("tinladder_services_lacking_room", func() float64 {
+		_, n := n.services.leastShare()
+		return float64(n)
+	})
+	m.set.NewGauge("tinladder_least_admitted_share", func() float64 {
+		share, _ := n.services.leastShare()
+		return share
+	})
 	m.set.NewGauge("tinladder_requests_suspected", func() float64 { return float64(len(n.suspects.list.All())) })
 	m.set.NewGauge("tinladder_members", func() float64 { return float64(len(n.members.Live())) })
 	m.set.NewGauge("tinladder_log_lines_dropped", func() float64 { return float64(n.log.Dropped()) })
@@ -213,6 +222,31 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_refused_total{status="%d"}`, status)).Inc()
 }
 
+// maxPrioritySeries is how many priorities have metrics of their own, the most urgent ones.
+const maxPrioritySeries = 4
+
+// refusedByLevel counts requests refused since their service admitted only more urgent ones.
+func (m *nodeMetrics) refusedByLevel(priority uint32) {
+	label := "others"
+	if priority < maxPrioritySeries {
+		label = strconv.FormatUint(uint64(priority), 10)
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_refused_by_level_total{priority=%q}`, label)).Inc()
+}
+
+// leastShare returns the least share of its requests that a service admits, and how many services lack room.
+func (s *services) leastShare() (share float64, lacking int) {
+	share = 1
+	for _, svc := range s.all() {
+		l := svc.pool.UrgencyLevel()
+		share = min(share, l.Share)
+		if l.On {
+			lacking++
+		}
+	}
+	return share, lacking
+}
+
 // ended counts requests for services by kind and status, and failed ones by cause.
 func (m *nodeMetrics) ended(repeatable bool, status int, c cause, took clock.Millis) {
 	kind := kindOf(repeatable)
--- a/node/services.go
+++ b/node/services.go
@@ -16,6 +16,7 @@
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/logs"
 	"github.com/tinladder/tinladder/pool"
+	"github.com/tinladder/tinladder/pool/urgency"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 )
 
@@ -561,7 +562,7 @@
 		r := svc.pool.Report(true)
 		s.setSender(svc, r)
 		for part := range slices.Chunk(r.GetSeen(), seenPerParcel) {
-			one := &tlv1.Report{Node: r.Node, Incarnation: r.Incarnation, Seq: r.Seq, Service: r.Service, Seen: part, Asked: r.Asked, Unserved: r.Unserved, Failed: r.Failed, CutOff: r.CutOff}
+			one := &tlv1.Report{Node: r.Node, Incarnation: r.Incarnation, Seq: r.Seq, Service: r.Service, Seen: part, Asked: r.Asked, Unserved: r.Unserved, Failed: r.Failed, CutOff: r.CutOff, Lack: r.Lack}
 			n := gossipAddresses(fresh, func(*tlv1.Member) bool { return true })
 			s.node.wire.send(&tlv1.Parcel{Body: &tlv1.Parcel_Report{Report: one}}, n...)
 		}
@@ -624,6 +625,10 @@
 	case pool.TargetsCutOff:
 		s.node.reach.closeIdle(svc)
 	}
+	if e.Kind == pool.LevelChanged {
+		s.logLevel(svc, e.Level)
+		return
+	}
 	s.node.metrics.belief(e.Kind)
 	if e.By == "" || s.peerBeliefLines.Allow() {
 		f := logrus.Fields{"event": e.Kind, "service": svc.name, "target": e.Target, "by": e.By}
@@ -646,6 +651,18 @@
 	s.node.events.add(&tlv1.Event{Kind: kind, Workspace: string(name.Workspace), Service: name.Name, Target: string(e.Target)})
 }
 
+// logLevel logs which requests a service admits.
+func (s *services) logLevel(svc *service, l urgency.State) {
+	f := logrus.Fields{
+		"event": pool.LevelChanged, "service": svc.name, "lacks_room": l.On, "share": fmt.Sprintf("%.2f", l.Share),
+		"wait": fmt.Sprintf("%.2f", l.Wait), "peers_wait": fmt.Sprintf("%.2f", l.PeersWait), "peers_age_ms": l.PeersAge,
+	}
+	if l.On {
+		f["level"], f["fraction"], f["rest"] = l.Priority, fmt.Sprintf("%.2f", l.Fraction), fmt.Sprintf("%.2f", l.Rest)
+	}
+	s.node.log.WithFields(f).Info()
+}
+
 // eventKinds maps pool events to those in the operators' report.
 var eventKinds = map[pool.EventKind]tlv1.EventKind{
 	pool.TargetAvoided:  tlv1.EventKind_EVENT_KIND_EJECTED,
