--- a/node/answer.go
+++ b/node/answer.go
@@ -176,6 +176,7 @@
 	case errors.As(err, &busy):
 		c, p.Detail, p.RetryAfter = causeQueue, busy.Reason, busy.RetryAfter
 		if busy.ByUrgency {
+			c = causeUrgency
 			x.node.metrics.refusedByLevel(x.priority())
 		}
 	case x.lastShed:
--- a/node/request_log.go
+++ b/node/request_log.go
@@ -28,6 +28,8 @@
 	causeCut cause = "answer_cut"
 	// causeQueue requests were refused since their deadline would have passed before a slot became free.
 	causeQueue cause = "queue"
+	// causeUrgency requests were refused since their service admitted only more urgent ones.
+	causeUrgency cause = "urgency"
 	// causeNoTarget requests were refused since no target was reachable and accepting requests.
 	causeNoTarget cause = "no_target"
 	// causeShed requests were refused by all targets that they were sent to.
--- a/pool/urgency/urgency.go
+++ b/pool/urgency/urgency.go
@@ -194,7 +194,6 @@
 func (c *Control) step(now clock.Millis) {
 	j := c.join(now)
 	c.peersWait, c.peersAge = j.peersWait, j.age
-	taken := j.granted / max(j.rates.total(), 1) // share of the requests that the targets take
 	if j.wait >= fleetTarget {
 		c.pressed++
 	} else {
@@ -206,7 +205,7 @@
 		}
 		c.on, c.since, c.share = true, now, 1
 	}
-	c.moveShare(&j, taken)
+	c.moveShare(&j)
 	c.alone = bounded(c.alone*(1+gain*(ownTarget-c.firstWait)), minShare, 1)
 	if j.rates.n < 2 || c.share >= 1 {
 		c.on, c.share, c.alone = false, 1, 1
@@ -218,19 +217,28 @@
 	}
 }
 
-func (c *Control) moveShare(j *joined, taken float64) {
-	change := gain * (fleetTarget - j.wait)
+// moveShare moves the share toward the target, and near what the targets take. A peer that claims too much of that must
+// not keep the share too high for what waits here.
+func (c *Control) moveShare(j *joined) {
+	taken := j.granted / max(j.rates.total(), 1)
+	ownTaken := c.granted / max(c.own.total(), 1)
+	late := c.wait >= ownTarget // whatever peers say
+	wait := j.wait
+	if late {
+		wait = max(wait, c.wait)
+	}
+	change := gain * (fleetTarget - wait)
 	if !c.full && change > 0 {
 		change = roomGain
 	}
 	c.share *= 1 + change
-	if j.weight > 0 {
+	if j.weight > 0 && (!late || j.share < c.share) {
 		c.share += pull * (j.share - c.share)
 	}
 	if c.full {
 		c.share = min(c.share, most*taken)
 	}
-	c.share = bounded(max(c.share, drain*taken), minShare, 1)
+	c.share = bounded(max(c.share, drain*min(taken, ownTaken)), minShare, 1)
 }
 
 // joined is what this node and its peers see.
@@ -254,6 +262,9 @@
 	}
 	for i := range c.peers {
 		p := &c.peers[i]
+		if p.Arrivals.n == 0 {
+			continue
+		}
 		arrivals, age := p.Arrivals.total(), max(now-p.at, 0)
 		part := bounded((total-arrivals)/max(arrivals, 1), 0, 1) // no node counts more than all others together
 		j.rates.add(&p.Arrivals, part)
@@ -293,8 +304,8 @@
 	})
 	switch {
 	case known && seq != 0 && seq <= c.peers[i].seq:
-	case claim == nil && known:
-		c.peers = slices.Delete(c.peers, i, i+1)
+	case claim == nil && known: // its seq still counts
+		c.peers[i] = peer{id: from, seq: max(seq, c.peers[i].seq), at: now}
 	case claim == nil, !claim.wellFormed(), !known && len(c.peers) >= maxPeers:
 	default:
 		if !known {
--- a/trace/story.go
+++ b/trace/story.go
@@ -240,6 +240,8 @@
 		return fmt.Sprintf("%s was answered, and the answer was cut after it had begun: %s. It has run.", who, end.Get("reason"))
 	case "queue":
 		return fmt.Sprintf("%s was refused after %s ms, since its time would have passed before a slot came free. It has not run; the caller was told to come back in %s ms.", who, ms, retry)
+	case "urgency":
+		return fmt.Sprintf("%s was refused after %s ms, since the service lacked room and admitted only more urgent requests. It has not run; the caller was told to come back in %s ms.", who, ms, retry)
 	case "no_target":
 		return fmt.Sprintf("%s was refused after %s ms, since no target could be reached or may take work. It has not run; the caller was told to come back in %s ms.", who, ms, retry)
 	case "shed":
