--- a/pool/urgency/rates.go
+++ b/pool/urgency/rates.go
@@ -70,10 +70,24 @@
 
 // firstWait returns the mean wait of the most urgent requests.
 func (r *Rates) firstWait() float64 {
-	if r.n == 0 || r.kinds[0].waited == 0 {
+	if r.n == 0 {
 		return 0
 	}
-	return r.kinds[0].waits / float64(r.kinds[0].waited)
+	return r.kinds[0].wait()
+}
+
+// longestWait returns the mean wait of the priority whose requests wait the longest.
+func (r *Rates) longestWait() float64 {
+	longest := 0.0
+	for _, k := range r.kinds[:r.n] {
+		longest = max(longest, k.wait())
+	}
+	return longest
+}
+
+// wait returns the mean wait.
+func (k kind) wait() float64 {
+	return k.waits / float64(max(k.waited, 1))
 }
 
 // close ends an interval.
--- a/pool/urgency/urgency.go
+++ b/pool/urgency/urgency.go
@@ -104,8 +104,9 @@
 	on, full     bool
 	since        clock.Millis
 	level        Level
-	// wait is the mean wait of the requests that the level admits, firstWait that of the most urgent ones.
-	wait, firstWait float64
+	// wait is the mean wait of the requests that the level admits, firstWait that of the most urgent ones, longest that of
+	// the priority that waits the longest.
+	wait, firstWait, longest float64
 	// granted is how many requests get a slot, a second, grants how many got one since the last interval.
 	granted float64
 	grants  int
@@ -169,10 +170,11 @@
 		return
 	}
 	c.full = inUse >= fullAbove || c.full && inUse >= fullBelow
-	wait, firstWait := c.own.meanWait(c.fraction), c.own.firstWait()
+	wait, firstWait, longest := c.own.meanWait(c.fraction), c.own.firstWait(), c.own.longestWait()
 	for ; c.updated+Interval <= now; c.updated += Interval {
 		c.wait += smoothing * (wait - c.wait)
 		c.firstWait += smoothing * (firstWait - c.firstWait)
+		c.longest += smoothing * (longest - c.longest)
 		c.granted += rateSmoothing * (perSecond(c.grants) - c.granted)
 		c.grants = 0
 		c.own.close()
@@ -206,14 +208,24 @@
 		c.on, c.since, c.share = true, now, 1
 	}
 	c.moveShare(&j)
-	c.alone = bounded(c.alone*(1+gain*(ownTarget-c.firstWait)), minShare, 1)
 	if j.rates.n < 2 || c.share >= 1 {
 		c.on, c.share, c.alone = false, 1, 1
 		return
 	}
-	c.level = j.rates.level(c.share)
-	if first := j.rates.kinds[0].priority; c.level.Priority == first { // refused by their own wait alone
-		c.level.Fraction = c.alone
+	c.setLevel(&j.rates)
+}
+
+// setLevel sets the level for the arrivals. The most urgent requests are refused only by what waits here: they
+// themselves, or the less urgent ones that they leave too little.
+func (c *Control) setLevel(r *Rates) {
+	c.level = r.level(c.share)
+	first, wait := c.level.Priority == r.kinds[0].priority, c.firstWait
+	if first {
+		wait = c.longest
+	}
+	c.alone = bounded(c.alone*(1+gain*(ownTarget-wait)), minShare, 1)
+	if first {
+		c.level.Fraction = max(c.level.Fraction, c.alone)
 	}
 }
 
@@ -222,10 +234,13 @@
 func (c *Control) moveShare(j *joined) {
 	taken := j.granted / max(j.rates.total(), 1)
 	ownTaken := c.granted / max(c.own.total(), 1)
-	late := c.wait >= ownTarget // whatever peers say
-	wait := j.wait
+	wait, own := j.wait, c.wait
+	if c.on && c.level.Priority == j.rates.kinds[0].priority {
+		own = c.longest // the few that are less urgent hardly count in the mean
+	}
+	late := own >= ownTarget // whatever peers say
 	if late {
-		wait = max(wait, c.wait)
+		wait = max(wait, own)
 	}
 	change := gain * (fleetTarget - wait)
 	if !c.full && change > 0 {
@@ -233,7 +248,7 @@
 	}
 	c.share *= 1 + change
 	if j.weight > 0 && (!late || j.share < c.share) {
-		c.share += pull * (j.share - c.share)
+		c.share += pull * j.weight * (j.share - c.share)
 	}
 	if c.full {
 		c.share = min(c.share, most*taken)
@@ -245,7 +260,7 @@
 type joined struct {
 	// wait is the mean wait, weighted by the arrivals that the level admits; peersWait is that of the peers alone.
 	wait, peersWait float64
-	// share is the peers' mean share, and weight what it counts; 0 if no peer does.
+	// share is the peers' mean share, and weight their part of what is admitted.
 	share, weight float64
 	// granted is how many requests get a slot, a second.
 	granted float64
@@ -267,13 +282,14 @@
 		}
 		arrivals, age := p.Arrivals.total(), max(now-p.at, 0)
 		part := bounded((total-arrivals)/max(arrivals, 1), 0, 1) // no node counts more than all others together
+		part *= 1 - float64(age)/float64(c.ttl)
 		j.rates.add(&p.Arrivals, part)
 		j.granted += part * min(p.Granted, arrivals)
 		if j.age < 0 || age < j.age {
 			j.age = age
 		}
 		if c.full { // else there is room, whatever peers say
-			weight := part * c.admitted(&p.Arrivals) * (1 - float64(age)/float64(c.ttl))
+			weight := part * c.admitted(&p.Arrivals)
 			j.weight += weight
 			j.peersWait += weight * p.Wait
 			j.share += weight * p.Share
@@ -283,6 +299,7 @@
 		j.wait = (own*c.wait + j.peersWait) / (own + j.weight)
 		j.peersWait /= j.weight
 		j.share /= j.weight
+		j.weight /= own + j.weight
 	}
 	return j
 }
--- a/pool/urgency/urgency_test.go
+++ b/pool/urgency/urgency_test.go
@@ -397,30 +397,88 @@
 	}
 }
 
-// TestLastReportOfAFrozenNodeLapses guards against a level held by a node that does not report any more.
-func TestLastReportOfAFrozenNodeLapses(t *testing.T) {
-	is := is.New(t)
-	c := urgency.New(ttl)
-	var rates urgency.Rates
-	rates.Add(0, 100)
-	rates.Add(1, 100)
+// idleNode returns a control whose own requests get a slot at once, and a function that plays an interval of it.
+func idleNode() (c *urgency.Control, play func() clock.Millis) {
+	c = urgency.New(ttl)
 	now := clock.Millis(10_000)
 	c.Update(now, 1)
-	c.Hear(ident.Process{Node: "frozen", Incarnation: 1}, 1, &urgency.Claim{Wait: 2, Share: 0.1, Granted: 10, Arrivals: rates}, now)
-	wasOn := false
-	for range 22 {
+	return c, func() clock.Millis {
 		now += urgency.Interval
 		for range 10 {
+			c.Arrived(0)
+			c.Granted(0, 0)
 			c.Arrived(1)
 			c.Granted(1, 0)
 		}
 		c.Update(now, 1)
+		return now
+	}
+}
+
+// longestWait is the most that a peer may claim of a lack.
+func longestWait() *urgency.Claim {
+	c := &urgency.Claim{Wait: 1e9, Arrivals: urgency.Rates{}}
+	c.Arrivals.Add(0, 1e9)
+	c.Arrivals.Add(1, 1e9)
+	return c
+}
+
+// TestLastReportOfAFrozenNodeLapses guards against a level held by a node that does not report any more: it is gone two
+// seconds later.
+func TestLastReportOfAFrozenNodeLapses(t *testing.T) {
+	is := is.New(t)
+	c, play := idleNode()
+	now := play()
+	c.Hear(ident.Process{Node: "frozen", Incarnation: 1}, 1, longestWait(), now)
+	wasOn := false
+	for play() < now+2000 {
 		wasOn = wasOn || c.State().On
 	}
 	is.True(wasOn)
 	is.True(!c.State().On)
 }
 
+// TestPeersNeverRefuseTheMostUrgent guards against urgent requests refused by what a peer claims, while none wait here,
+// and against claims without bound.
+func TestPeersNeverRefuseTheMostUrgent(t *testing.T) {
+	is := is.New(t)
+	c, play := idleNode()
+	for i := range uint64(50) {
+		c.Hear(ident.Process{Node: "liar", Incarnation: 1}, i+1, longestWait(), play())
+		is.True(c.Admits(0, 0.999))
+		is.True(c.State().PeersWait <= 2)
+	}
+	is.True(c.State().On)
+}
+
+// TestOneLongWaitIsNoLack guards against a level by a single request, of a route whose objective is far too short.
+func TestOneLongWaitIsNoLack(t *testing.T) {
+	is := is.New(t)
+	c, play := idleNode()
+	for range 50 {
+		c.Granted(0, 1e6)
+		play()
+		is.True(!c.State().On)
+	}
+}
+
+// TestNoKindStarves guards against less urgent requests that are served less than a quarter as often as all, where the
+// urgent ones nearly fill the room.
+func TestNoKindStarves(t *testing.T) {
+	for _, n := range []int{1, 6, 40} {
+		m := newModel(n)
+		m.urgent, m.bulk = 560, 640
+		m.run(3000, nil)
+		m.clear()
+		m.run(10_000, nil)
+		urgent, bulk := m.share(0), m.share(1)
+		t.Logf("%d nodes: urgent %.3f bulk %.3f", n, urgent, bulk)
+		if all := (urgent*m.urgent + bulk*m.bulk) / (m.urgent + m.bulk); bulk < floor*all {
+			t.Errorf("%d nodes: bulk served %.3f of all %.3f", n, bulk, all)
+		}
+	}
+}
+
 // TestOldAndDoubledReportsAreIgnored guards against a claim that returns after it was taken back.
 func TestOldAndDoubledReportsAreIgnored(t *testing.T) {
 	is := is.New(t)
@@ -447,6 +505,7 @@
 	is := is.New(t)
 	m := settled(1)
 	is.True(m.anyOn())
+	m.nodes[0].c.Waiting(0, 20)
 	m.nodes[0].c.Update(m.now+3000, 1)
 	is.True(!m.anyOn())
 }
