--- a/pool/pool.go
+++ b/pool/pool.go
@@ -226,7 +226,7 @@
 		reach: newReach(),
 	}
 	if t.UrgencyLevel {
-		p.urgency = urgency.New(t.PeerTTL)
+		p.urgency = urgency.New(min(t.PeerTTL, claimTTL))
 	}
 	return p
 }
--- a/pool/urgency/urgency_test.go
+++ b/pool/urgency/urgency_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	ttl clock.Millis = 2100
+	ttl clock.Millis = 1500
 	// allowed is how long a request may wait by its objective, in the model.
 	allowed = 150
 	step    = clock.Millis(10)
--- a/pool/urgency_level.go
+++ b/pool/urgency_level.go
@@ -12,6 +12,10 @@
 // The load pattern: a service lacks room and its callers are spread unevenly, so that one node turns urgent requests away
 // while another takes less urgent ones (docs/design/22-urgency-level.md).
 
+// claimTTL is how long a report of a lack counts: nodes of other halls hear one each half second, and a level must not
+// outlast a lack by more than a second or two.
+const claimTTL clock.Millis = 1500
+
 // earlyRefusal is the share of its objective within which a request that waits may be refused by the level: its caller has
 // time to come again. Later it keeps its place.
 const earlyRefusal = 0.25
