--- a/pool/urgency_level_test.go
+++ b/pool/urgency_level_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,7 +21,9 @@
 // levelNode is a pool with a level of urgency, in the time of its bubble.
 type levelNode struct {
 	*pool.Pool
-	clock  clock.Clock
+	clock clock.Clock
+
+	mu     sync.Mutex
 	events []pool.Event
 	// refused and held are of requests that the level refused: how many, and the longest that one waited for it.
 	refused map[uint32]int
@@ -34,27 +37,42 @@
 	tuning := pool.DefaultTuning
 	tuning.UrgencyLevel = on
 	b := pool.NewRetryBudget(n.clock, rand.New(rand.NewPCG(3, 4)), 0.2, 100, 10*clock.Second)
-	n.Pool = pool.New(tuning, n.clock, rand.New(rand.NewPCG(1, 2)), b, func(pool.ChangeKind, ident.Hall) {}, func(e pool.Event) { n.events = append(n.events, e) })
+	n.Pool = pool.New(tuning, n.clock, rand.New(rand.NewPCG(1, 2)), b, func(pool.ChangeKind, ident.Hall) {}, n.onEvent)
 	n.SetTargets(targets(targetCount, slots))
 	return n
 }
 
+func (n *levelNode) onEvent(e pool.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.events = append(n.events, e)
+}
+
+// record counts how a request of a priority was admitted or refused, after a time.
+func (n *levelNode) record(priority uint32, err error, took time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var busy *pool.BusyError
+	if errors.As(err, &busy) && busy.ByUrgency {
+		n.refused[priority]++
+		n.held = max(n.held, took)
+		n.retry = max(n.retry, busy.RetryAfter)
+	}
+	if err == nil {
+		n.granted[priority]++
+	}
+}
+
 // ask makes a request of 100 ms at a target.
 func (n *levelNode) ask(priority uint32) {
 	now := n.clock.Now()
 	a := &pool.Request{Priority: priority, Began: now, Objective: 800, Deadline: now + 5000}
 	began := time.Now()
 	l, err := n.Acquire(context.Background(), a)
-	var busy *pool.BusyError
-	if errors.As(err, &busy) && busy.ByUrgency {
-		n.refused[priority]++
-		n.held = max(n.held, time.Since(began))
-		n.retry = max(n.retry, busy.RetryAfter)
-	}
+	n.record(priority, err, time.Since(began))
 	if err != nil {
 		return
 	}
-	n.granted[priority]++
 	time.Sleep(100 * time.Millisecond)
 	l.Done(pool.Good, false)
 }
@@ -81,21 +99,24 @@
 		is := is.New(t)
 		n := newLevelNode(true, 4, 2)
 		n.press(4 * time.Second)
+		n.mu.Lock()
 		is.Equal(n.refused[0], 0)
 		is.True(n.refused[2] > 100)
 		is.True(n.granted[2] > 100)
 		is.True(n.held <= 200*time.Millisecond) // a quarter of the objective
 		is.True(n.retry >= 250 && n.retry <= 4500)
+		n.mu.Unlock()
 		is.True(n.UrgencyLevel().On)
-		n.held = 0
 		n.press(2 * time.Second)
 		is.True(n.Stats().Waiting < 40)
+		n.mu.Lock()
 		lines := 0
 		for _, e := range n.events {
 			if e.Kind == pool.LevelChanged {
 				lines++
 			}
 		}
+		n.mu.Unlock()
 		is.True(lines >= 1 && lines <= 7) // one a second
 		time.Sleep(2 * time.Second)
 		n.Wake()
@@ -110,8 +131,10 @@
 		is := is.New(t)
 		n := newLevelNode(false, 4, 2)
 		n.press(3 * time.Second)
-		is.Equal(len(n.refused), 0)
 		is.Equal(n.Report(false).GetLack(), nil)
+		n.mu.Lock()
+		is.Equal(len(n.refused), 0)
+		n.mu.Unlock()
 		time.Sleep(20 * time.Second)
 	})
 }
@@ -123,7 +146,9 @@
 		is := is.New(t)
 		n := newLevelNode(true, 4, 2)
 		n.press(4 * time.Second)
+		n.mu.Lock()
 		is.True(n.refused[2] > 100)
+		n.mu.Unlock()
 		now := n.clock.Now()
 		for range 20 {
 			a := &pool.Request{Priority: 2, Began: now, Objective: 800, Deadline: now + 5000, Exclude: []ident.Target{"a"}}
@@ -182,8 +207,10 @@
 					time.Sleep(100 * time.Millisecond)
 					n.Wake()
 				}
-				is.Equal(len(n.refused), 0)
 				time.Sleep(time.Second)
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				is.Equal(len(n.refused), 0)
 			})
 		})
 	}
