--- a/pool/event.go
+++ b/pool/event.go
@@ -4,6 +4,7 @@
 	"github.com/tinladder/tinladder/belief"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/pool/urgency"
 )
 
 // EventKind is a kind of change in what is known of a target.
@@ -33,11 +34,20 @@
 	TargetSlow
 	// TargetUsual means that the target is no longer estimated to be slow.
 	TargetUsual
+	// LevelChanged means that the service admits requests by another level of urgency, or all again.
+	LevelChanged
 )
 
+var eventNames = [...]string{
+	TargetAvoided: "target_avoided", TargetReturned: "target_returned", TargetLeft: "target_left", TargetUnreachable: "target_unreachable",
+	TargetLimited: "target_limited", TargetUnlimited: "target_unlimited", TargetRests: "target_rests",
+	TargetsCutOff: "targets_cut_off", TargetsReached: "targets_reached",
+	TargetSlow: "target_slow", TargetUsual: "target_usual", LevelChanged: "level_changed",
+}
+
 // String returns the kind's name in logs.
 func (k EventKind) String() string {
-	return [...]string{"target_avoided", "target_returned", "target_left", "target_unreachable", "target_limited", "target_unlimited", "target_rests", "targets_cut_off", "targets_reached", "target_slow", "target_usual"}[k]
+	return eventNames[k]
 }
 
 // Event is one change in what is known of a target.
@@ -52,6 +62,8 @@
 	Rest clock.Millis
 	// Slower is how many times longer than the median target it takes, for TargetSlow and TargetUsual.
 	Slower float64
+	// Level is the level of urgency, for LevelChanged.
+	Level urgency.State
 	// By names the node that reported the change; it is empty if this node observed it.
 	By ident.Node
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -11,6 +11,7 @@
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
 	"github.com/tinladder/tinladder/pool/speed"
+	"github.com/tinladder/tinladder/pool/urgency"
 )
 
 // ErrNoTarget means that no target may take the request.
@@ -20,6 +21,8 @@
 type BusyError struct {
 	RetryAfter clock.Millis
 	Reason     string
+	// ByUrgency says that the service admits only more urgent requests at present.
+	ByUrgency bool
 }
 
 // Error implements error.
@@ -213,6 +216,9 @@
 	wokeAt clock.Millis
 	reach  reach
 	events []Event
+	// urgency decides whom the service admits while it lacks room; nil if all.
+	urgency  *urgency.Control
+	levelLog levelLog
 }
 
 // New returns a pool without targets.
@@ -220,13 +226,17 @@
 	if t.RetryOrder {
 		b.keepOrder()
 	}
-	return &Pool{
+	p := &Pool{
 		clock: c, rand: r, tuning: t, budget: b, onChange: onChange, onEvent: onEvent,
 		targets: map[ident.Target]*target{}, waiting: newWaitList(), serviceTime: float64(t.FirstServiceTime), failTime: float64(t.FirstServiceTime), speeds: newSpeeds(t.FirstServiceTime),
 		ended: newWindow(t.TroubleWindow), started: newWindow(t.TroubleWindow), peerTallies: map[ident.Process]peerTally{},
 		limitShare: 1, formerStates: map[ident.Target]namedState{},
 		reach: newReach(),
 	}
+	if t.UrgencyLevel {
+		p.urgency = urgency.New(min(t.PeerTTL, claimTTL))
+	}
+	return p
 }
 
 // Hedges reports whether a second attempt may be made beside a slow one.
