A flood of one workspace leaves others their service

The flood passed its share while nobody waited elsewhere: nodes race for one free slot, so some targets have queues and others idle, and each idle slot went to the flood (69 in flight at a share of 45). Now a workspace beyond its share leaves slots also while as much is in flight as there are slots; after 60 ms one slot at a time is used all the same, since all nodes see the same ones.

--- a/pool/fair/book.go
+++ b/pool/fair/book.go
@@ -14,8 +14,11 @@
 	MaxNamed = 4
 	// maxAccounts bounds how many workspaces are known from other nodes' claims.
 	maxAccounts = 4096
-	// refresh is how long shares hold before they are computed anew: about the interval of reports within a hall.
-	refresh clock.Millis = 20
+	// minRefresh and maxRefresh are how long shares hold before they are computed anew: longer the more claims there are,
+	// claimsPerMilli for each millisecond, so that it takes a small part of a processor; no longer than the interval of
+	// reports within a hall.
+	minRefresh, maxRefresh clock.Millis = 2, 20
+	claimsPerMilli                      = 50
 	// maxOver is how many times the room the work in flight that one node claims may be; a claim beyond is not believed.
 	maxOver = 2
 )
@@ -64,6 +67,7 @@
 	reorder(a *account)
 	visitWaiting(priority uint32, visit func(a *account, n int))
 	rank(w ident.Workspace) uint32
+	Len() int
 }
 
 // shares are those of requests of one priority.
@@ -73,6 +77,8 @@
 	level float64
 	// unmet is how many slots the waiters of other nodes lack that are within their shares.
 	unmet float64
+	// room is the number of slots.
+	room float64
 	// contested says that more than one workspace wants room.
 	contested bool
 }
@@ -86,6 +92,8 @@
 	free     []*account
 	peers    map[ident.Process]*peer
 	queue    queue
+	// inFlight is the sum over all workspaces and nodes.
+	inFlight int
 	// waitingPeers counts the peers that claim waiters.
 	waitingPeers int
 	expiredAt    clock.Millis
@@ -104,6 +112,7 @@
 func (b *Book) Begin(w ident.Workspace) {
 	a := b.open(w)
 	a.here++
+	b.inFlight++
 	b.queue.reorder(a)
 }
 
@@ -111,6 +120,7 @@
 func (b *Book) End(w ident.Workspace) {
 	a := b.open(w)
 	a.here--
+	b.inFlight--
 	b.queue.reorder(a)
 	b.close(a)
 }
@@ -168,6 +178,7 @@
 	}
 	b.drop(from)
 	p := &peer{others: b.bounded(others), seq: seq, at: now}
+	b.inFlight += others.InFlight
 	for _, c := range named {
 		if b.accounts[c.Workspace] == nil && len(b.accounts) >= maxAccounts {
 			continue
@@ -176,6 +187,7 @@
 		a := b.open(c.Workspace)
 		a.claims++
 		a.told += c.InFlight
+		b.inFlight += c.InFlight
 		a.waitingTold += c.Waiting
 		b.queue.reorder(a)
 		p.named = append(p.named, c)
@@ -217,10 +229,12 @@
 		a := b.accounts[c.Workspace]
 		a.claims--
 		a.told -= c.InFlight
+		b.inFlight -= c.InFlight
 		a.waitingTold -= c.Waiting
 		b.queue.reorder(a)
 		b.close(a)
 	}
+	b.inFlight -= p.others.InFlight
 	if p.waits() {
 		b.waitingPeers--
 	}
@@ -229,7 +243,7 @@
 
 // expire forgets the claims that are too old.
 func (b *Book) expire(now clock.Millis) {
-	if now-b.expiredAt < refresh {
+	if now-b.expiredAt < maxRefresh {
 		return
 	}
 	b.expiredAt = now
@@ -303,16 +317,22 @@
 		if len(b.byPriority) >= maxPriorities {
 			clear(b.byPriority)
 		}
-		s = &shares{at: -refresh}
+		s = &shares{at: -maxRefresh}
 		b.byPriority[priority] = s
 	}
-	if now-s.at >= refresh {
+	if now-s.at >= b.refresh() {
 		s.at = now
 		b.compute(s, priority, now)
 	}
 	return s
 }
 
+// refresh returns how long shares hold.
+func (b *Book) refresh() clock.Millis {
+	n := len(b.accounts) + (MaxNamed+1)*len(b.peers)
+	return min(max(clock.Millis(n/claimsPerMilli), minRefresh), maxRefresh)
+}
+
 // compute computes the shares for requests of the priority.
 func (b *Book) compute(s *shares, priority uint32, now clock.Millis) {
 	b.expire(now)
@@ -337,7 +357,8 @@
 		}
 	}
 	s.contested = len(b.demands) > 1
-	s.level = Level(b.room(), b.demands)
+	s.room = b.room()
+	s.level = Level(s.room, b.demands)
 	s.unmet = 0
 	if math.IsInf(s.level, 1) {
 		return
@@ -366,9 +387,15 @@
 	return s.contested && b.load(w) >= s.level
 }
 
-// Leaves reports whether the workspace has to leave a free slot to a waiter of another node.
+// Leaves reports whether the workspace has to leave a free slot: to a waiter of another node, or since there is as much in
+// flight as there are slots. Then other targets have more than their slots, and what comes next is to find this one free.
 func (b *Book) Leaves(priority uint32, w ident.Workspace, now clock.Millis) bool {
-	return b.WaitingElsewhere(now) && b.Beyond(priority, w, now) && b.shares(priority, now).unmet > 0
+	return b.Contended(now) && b.Beyond(priority, w, now) && (b.shares(priority, now).unmet > 0 || float64(b.inFlight) >= b.shares(priority, now).room)
+}
+
+// Contended reports whether requests wait, here or as another node claims.
+func (b *Book) Contended(now clock.Millis) bool {
+	return b.queue.Len() > 0 || b.WaitingElsewhere(now)
 }
 
 // A Holder is a workspace that has or wants room, over the fleet as far as it is known here.
@@ -404,9 +431,13 @@
 // Wait returns how many slot times a request of the workspace waits behind n others of its own, for its workspace's share
 // alone; 0 if the workspace stays within its share with them.
 func (b *Book) Wait(priority uint32, w ident.Workspace, n float64, now clock.Millis) float64 {
-	h := b.Holder(priority, w, now)
-	if math.IsInf(h.Share, 1) {
+	s := b.shares(priority, now)
+	if math.IsInf(s.level, 1) {
 		return 0
 	}
-	return max(float64(h.InFlight)+n+1-h.Share, 0) / max(h.Share, 1)
+	share, inFlight := s.level, 0
+	if a := b.accounts[w]; a != nil {
+		share, inFlight = share*a.weight, a.here+a.told
+	}
+	return max(float64(inFlight)+n+1-share, 0) / max(share, 1)
 }
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -18,6 +18,9 @@
 	holdReportInterval = clock.Second
 	// releaseAfter is how long a workspace must not have been held to count as released.
 	releaseAfter = clock.Second
+	// entryMargin is how much longer than estimated the wait for a workspace's share is taken to be when a request is
+	// queued: shares move with the others' demand, and a request refused later has waited for nothing.
+	entryMargin = 1.2
 	// maxTracked bounds the workspaces whose holds are tracked.
 	maxTracked = 64
 )
@@ -107,6 +110,8 @@
 		c = choice{}
 	case now-s.leftSince < leaveTime:
 		c = choice{}
+	default: // one at a time: all nodes see the same slots
+		s.leftSince = now
 	}
 	return c
 }
@@ -118,9 +123,9 @@
 	left := float64(a.Deadline-now) * slots
 	work := p.shares.queue.Ahead(a.Priority, a.Workspace, left) + float64(over+1)*p.serviceTime
 	wait := work / slots
-	if p.shares.queue.Len() > 0 || p.shares.book.WaitingElsewhere(now) {
+	if p.shares.book.Contended(now) {
 		waiting := p.shares.book.Holder(a.Priority, a.Workspace, now).Waiting
-		wait = max(wait, p.shares.book.Wait(a.Priority, a.Workspace, float64(waiting), now)*p.workOf(a))
+		wait = max(wait, entryMargin*p.shares.book.Wait(a.Priority, a.Workspace, float64(waiting), now)*p.workOf(a))
 	}
 	return clock.Millis(wait)
 }
@@ -217,7 +222,7 @@
 
 // addClaims adds to the report what workspaces have and want here, while requests wait here or elsewhere.
 func (p *Pool) addClaims(r *tlv1.Report, now clock.Millis) {
-	if p.shares == nil || p.shares.queue.Len() == 0 && !p.shares.book.WaitingElsewhere(now) {
+	if p.shares == nil || !p.shares.book.Contended(now) {
 		return
 	}
 	named, others := p.shares.book.Claims()
