--- a/pool/fair/book.go
+++ b/pool/fair/book.go
@@ -263,6 +263,11 @@
 	return b.waitingPeers > 0
 }
 
+// WaitingNodes returns how many nodes have waiters, this one included.
+func (b *Book) WaitingNodes() int {
+	return b.waitingPeers + 1
+}
+
 // Claims returns what this node claims: of the workspaces with the most work in flight and waiting each, of the others
 // together.
 func (b *Book) Claims() (named []Claim, others Claim) {
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -41,7 +41,11 @@
 	w := &waiter{request: a, granted: make(chan grant, 1), work: p.workOf(a)}
 	p.waiting.insert(w)
 	until := p.giveUpAt(a)
+	tell := p.shares != nil && p.waiting.len() == 1
 	p.mu.Unlock()
+	if tell {
+		p.onChange(LocalLoad, "")
+	}
 	return p.wait(ctx, w, until)
 }
 
--- a/pool/share.go
+++ b/pool/share.go
@@ -24,7 +24,7 @@
 	defer p.mu.Unlock()
 	defer func() { p.reach.reportPending = p.reach.reportPending && whole }()
 	now := p.clock.Now()
-	return p.report(now, whole, func(t *target) bool {
+	return p.report(now, whole, false, func(t *target) bool {
 		if whole {
 			return t.evidenceAt > 0 || t.reportPending || p.refreshDue(t, now)
 		}
@@ -44,7 +44,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	return p.report(now, false, func(t *target) bool {
+	return p.report(now, false, true, func(t *target) bool {
 		atHome := t.Hall == home
 		if !t.reportPending && !(atHome && t.homeReportPending) && !p.refreshDue(t, now) {
 			return false
@@ -55,8 +55,8 @@
 	})
 }
 
-// report returns a report on the targets that include selects, or nil if it is empty.
-func (p *Pool) report(now clock.Millis, whole bool, include func(t *target) bool) *tlv1.Report {
+// report returns a report on the targets that include selects, or nil if it is empty. nearby says that it is not for all halls.
+func (p *Pool) report(now clock.Millis, whole, nearby bool, include func(t *target) bool) *tlv1.Report {
 	ended := p.ended.sum(now)
 	r := &tlv1.Report{Whole: whole, Asked: uint32(ended.asked), Unserved: uint32(ended.unserved), Failed: uint32(ended.failed), CutOff: p.reach.cutOff}
 	for _, t := range p.order {
@@ -64,10 +64,10 @@
 			r.Seen = append(r.Seen, p.seen(t, now))
 		}
 	}
-	if len(r.Seen) == 0 && !whole && !p.reach.reportPending {
+	if len(r.Seen) == 0 && !whole && !p.reach.reportPending && !p.claimsDue(nearby) {
 		return nil
 	}
-	p.addClaims(r, now)
+	p.addClaims(r, nearby, now)
 	p.reportSeq++
 	r.Seq = p.reportSeq
 	return r
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -10,8 +10,13 @@
 )
 
 const (
-	// leaveTime is how long a free slot is left to the waiters of other nodes: three intervals of reports within a hall.
+	// leaveTime is how long a free slot is left to the waiters of other nodes: three intervals of reports within a hall. The
+	// nodes that have waiters take turns, so that one in leaveTime is used in spite of them.
 	leaveTime clock.Millis = 60
+	// reportInterval is the time between a node's reports within a hall; maxUntold bounds the share of the requests known to
+	// be in flight that have ended meanwhile.
+	reportInterval clock.Millis = 20
+	maxUntold                   = 0.25
 	// reviewInterval is how often the queue is searched for requests that cannot be served in time any more.
 	reviewInterval clock.Millis = 20
 	// holdReportInterval is the least time between two events on workspaces held to their shares.
@@ -37,6 +42,8 @@
 	reported   map[ident.Workspace]bool
 	reportedAt clock.Millis
 	refused    uint64
+	// nearTold and farTold say that this hall's nodes, and those of all halls, were last told of waiters.
+	nearTold, farTold bool
 }
 
 // newShares returns the shares of the pool's room.
@@ -45,7 +52,8 @@
 	return &shares{book: b, queue: fair.NewQueue[*waiter](b), heldAt: map[ident.Workspace]clock.Millis{}, reported: map[ident.Workspace]bool{}}
 }
 
-// room returns how many slots the usable targets have, each counted as far as it is likely to be healthy.
+// room returns how many requests may be known to be in flight: as many as the usable targets have slots, each counted as far
+// as it is likely to be healthy, and those that end before it is told.
 func (p *Pool) room() float64 {
 	now := p.clock.Now()
 	slots := 0.0
@@ -54,7 +62,7 @@
 			slots += p.concurrency(t, now) * (1 - t.belief.FailingProb(&p.tuning.Model, now))
 		}
 	}
-	return slots
+	return slots * (1 + min(float64(reportInterval)/max(p.serviceTime, 1), maxUntold))
 }
 
 // Place implements fair.Entry.
@@ -108,9 +116,9 @@
 	case s.leftSince == 0:
 		s.leftSince = now
 		c = choice{}
-	case now-s.leftSince < leaveTime:
+	case now-s.leftSince < leaveTime*clock.Millis(s.book.WaitingNodes()):
 		c = choice{}
-	default: // one at a time: all nodes see the same slots
+	default: // one in leaveTime over the fleet: all nodes see the same slots
 		s.leftSince = now
 	}
 	return c
@@ -220,8 +228,21 @@
 	return p.shares.book.Holders(p.clock.Now())
 }
 
+// claimsDue reports whether the other nodes have to be told of waiters, or that there are none any more, though no target's
+// load has changed: a node may have waiters only.
+func (p *Pool) claimsDue(nearby bool) bool {
+	if p.shares == nil {
+		return false
+	}
+	return p.shares.queue.Len() > 0 || p.shares.nearTold || !nearby && p.shares.farTold
+}
+
 // addClaims adds to the report what workspaces have and want here, while requests wait here or elsewhere.
-func (p *Pool) addClaims(r *tlv1.Report, now clock.Millis) {
+func (p *Pool) addClaims(r *tlv1.Report, nearby bool, now clock.Millis) {
+	if p.shares != nil {
+		waiting := p.shares.queue.Len() > 0
+		p.shares.nearTold, p.shares.farTold = waiting, waiting && !nearby || p.shares.farTold && nearby
+	}
 	if p.shares == nil || !p.shares.book.Contended(now) {
 		return
 	}
