A share that is short is filled a part at a time by each node

Forty nodes that heard of a free part of a share all took it at once: a workspace had up to 62 slots at a share of 29, then none for a while. Now each node takes a part by its waiters.

--- a/pool/fair/book.go
+++ b/pool/fair/book.go
@@ -40,6 +40,9 @@
 	here, waiting, told, waitingTold int
 	// groups and claims are what refers to the account.
 	groups, claims int
+	// draw is a random number that decides about parts of a slot, drawn at drawnAt.
+	draw    float64
+	drawnAt clock.Millis
 	// wanted and wantedElsewhere are what waits of the priority whose shares are being computed.
 	wanted, wantedElsewhere int
 }
@@ -87,6 +90,7 @@
 // flight and waiting here and by the other nodes' claims.
 type Book struct {
 	room     func() float64
+	random   func() float64
 	ttl      clock.Millis
 	accounts map[ident.Workspace]*account
 	free     []*account
@@ -101,10 +105,11 @@
 	demands      []Demand
 }
 
-// New returns a book of nothing. room returns the service's slots, and claims of other nodes count for ttl.
-func New(room func() float64, ttl clock.Millis) *Book {
+// New returns a book of nothing. room returns the service's slots, random numbers below 1, and claims of other nodes count
+// for ttl.
+func New(room, random func() float64, ttl clock.Millis) *Book {
 	return &Book{
-		room: room, ttl: ttl, accounts: map[ident.Workspace]*account{}, peers: map[ident.Process]*peer{}, byPriority: map[uint32]*shares{},
+		room: room, random: random, ttl: ttl, accounts: map[ident.Workspace]*account{}, peers: map[ident.Process]*peer{}, byPriority: map[uint32]*shares{},
 	}
 }
 
@@ -394,8 +399,29 @@
 
 // Leaves reports whether the workspace has to leave a free slot: to a waiter of another node, or since there is as much in
 // flight as there are slots. Then other targets have more than their slots, and what comes next is to find this one free.
+//
+// A workspace that wants more than its share and has less takes what is missing a part at a time at each node where it has
+// waiters: if all took it at once, as soon as they hear of it, the workspace would have its share several times over.
 func (b *Book) Leaves(priority uint32, w ident.Workspace, now clock.Millis) bool {
-	return b.Contended(now) && b.Beyond(priority, w, now) && (b.shares(priority, now).unmet > 0 || float64(b.inFlight) >= b.shares(priority, now).room)
+	if !b.Contended(now) {
+		return false
+	}
+	s := b.shares(priority, now)
+	if !s.contested || math.IsInf(s.level, 1) {
+		return false
+	}
+	if b.load(w) >= s.level {
+		return s.unmet > 0 || float64(b.inFlight) >= s.room
+	}
+	a := b.accounts[w]
+	if a == nil || a.waitingTold == 0 || float64(a.here+a.told+a.waiting+a.waitingTold) <= s.level*a.weight {
+		return false
+	}
+	if now-a.drawnAt >= maxRefresh {
+		a.drawnAt, a.draw = now, b.random()
+	}
+	part := float64(a.waiting+1) / float64(a.waiting+1+a.waitingTold)
+	return (s.level*a.weight-float64(a.here+a.told))*part < a.draw
 }
 
 // Contended reports whether requests wait, here or as another node claims.
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -42,18 +42,21 @@
 	reported   map[ident.Workspace]bool
 	reportedAt clock.Millis
 	refused    uint64
+	// work is the running mean of how long targets work on requests, in milliseconds.
+	work float64
 	// nearTold and farTold say that this hall's nodes, and those of all halls, were last told of waiters.
 	nearTold, farTold bool
 }
 
 // newShares returns the shares of the pool's room.
 func newShares(p *Pool) *shares {
-	b := fair.New(p.room, p.tuning.PeerTTL)
-	return &shares{book: b, queue: fair.NewQueue[*waiter](b), heldAt: map[ident.Workspace]clock.Millis{}, reported: map[ident.Workspace]bool{}}
+	b := fair.New(p.room, p.rand.Float64, p.tuning.PeerTTL)
+	return &shares{book: b, queue: fair.NewQueue[*waiter](b), work: p.serviceTime, heldAt: map[ident.Workspace]clock.Millis{}, reported: map[ident.Workspace]bool{}}
 }
 
 // room returns how many requests may be known to be in flight: as many as the usable targets have slots, each counted as far
-// as it is likely to be healthy, and those that end before it is told.
+// as it is likely to be healthy, and those of two intervals between reports: of ended ones that are not told yet, and of ones
+// that began at the same slot as another node's.
 func (p *Pool) room() float64 {
 	now := p.clock.Now()
 	slots := 0.0
@@ -62,7 +65,7 @@
 			slots += p.concurrency(t, now) * (1 - t.belief.FailingProb(&p.tuning.Model, now))
 		}
 	}
-	return slots * (1 + min(float64(reportInterval)/max(p.serviceTime, 1), maxUntold))
+	return slots * (1 + min(2*float64(reportInterval)/max(p.shares.work, 1), maxUntold))
 }
 
 // Place implements fair.Entry.
@@ -83,6 +86,7 @@
 	l := p.lease(c, p.clock.Now())
 	if p.shares != nil {
 		l.workspace = a.Workspace
+		p.shares.work += (p.workOf(a) - p.shares.work) / smoothing
 		p.shares.book.Begin(a.Workspace)
 	}
 	return l
