--- a/pool/fair/book.go
+++ b/pool/fair/book.go
@@ -96,6 +96,9 @@
 	free     []*account
 	peers    map[ident.Process]*peer
 	queue    queue
+	// slotsThen is the room at slotsAt.
+	slotsThen float64
+	slotsAt   clock.Millis
 	// inFlight is the sum over all workspaces and nodes.
 	inFlight int
 	// waitingPeers counts the peers that claim waiters.
@@ -178,17 +181,17 @@
 	if old == nil && len(named) == 0 && others == (Claim{}) {
 		return
 	}
-	if !b.credible(named, others) {
+	if !b.credible(named, others, now) {
 		return
 	}
 	b.drop(from)
-	p := &peer{others: b.bounded(others), seq: seq, at: now}
+	p := &peer{others: b.bounded(others, now), seq: seq, at: now}
 	b.inFlight += others.InFlight
 	for _, c := range named {
 		if b.accounts[c.Workspace] == nil && len(b.accounts) >= maxAccounts {
 			continue
 		}
-		c = b.bounded(c)
+		c = b.bounded(c, now)
 		a := b.open(c.Workspace)
 		a.claims++
 		a.told += c.InFlight
@@ -203,8 +206,16 @@
 	}
 }
 
+// slots returns the room, which is asked for at most once in maxRefresh: it is a sum over all targets.
+func (b *Book) slots(now clock.Millis) float64 {
+	if b.slotsAt == 0 || now-b.slotsAt >= maxRefresh {
+		b.slotsAt, b.slotsThen = now, b.room()
+	}
+	return b.slotsThen
+}
+
 // credible reports whether the claims can be true of one node.
-func (b *Book) credible(named []Claim, others Claim) bool {
+func (b *Book) credible(named []Claim, others Claim, now clock.Millis) bool {
 	if len(named) > MaxNamed || others.InFlight < 0 || others.Waiting < 0 || others.Members < 0 {
 		return false
 	}
@@ -215,12 +226,12 @@
 		}
 		sum += c.InFlight
 	}
-	return float64(sum) <= maxOver*max(b.room(), 1)
+	return float64(sum) <= maxOver*max(b.slots(now), 1)
 }
 
 // bounded returns the claim with no more waiters than there are slots: more change no share.
-func (b *Book) bounded(c Claim) Claim {
-	c.Waiting = min(c.Waiting, int(math.Ceil(b.room())))
+func (b *Book) bounded(c Claim, now clock.Millis) Claim {
+	c.Waiting = min(c.Waiting, int(math.Ceil(b.slots(now))))
 	return c
 }
 
@@ -367,7 +378,7 @@
 		}
 	}
 	s.contested = len(b.demands) > 1
-	s.room = b.room()
+	s.room = b.slots(now)
 	s.level = Level(s.room, b.demands)
 	s.unmet = 0
 	if math.IsInf(s.level, 1) {
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// leaveTime is how long a free slot is left to the waiters of other nodes: three intervals of reports within a hall. The
-	// nodes that have waiters take turns, so that one in leaveTime is used in spite of them.
+	// leaveTime is how long a free slot is left to the waiters of other nodes: three intervals of reports within a hall. From
+	// then on one in leaveTime is used in spite of them.
 	leaveTime clock.Millis = 60
 	// reportInterval is the time between a node's reports within a hall; maxUntold bounds the share of the requests known to
 	// be in flight that have ended meanwhile.
@@ -35,8 +35,8 @@
 	book  *fair.Book
 	queue *fair.Queue[*waiter]
 	// leftSince is since when a free slot is left to waiters of other nodes; 0 if none is.
-	leftSince  clock.Millis
-	reviewedAt clock.Millis
+	leftSince, drawnAt clock.Millis
+	reviewedAt         clock.Millis
 	// heldAt is when a workspace was last held, reported whether an event told so.
 	heldAt     map[ident.Workspace]clock.Millis
 	reported   map[ident.Workspace]bool
@@ -114,20 +114,30 @@
 		return p.choose(a, mayOvercommit)
 	}
 	c := p.choose(a, false)
-	switch {
-	case c.target == nil:
+	if c.target == nil {
 		s.leftSince = 0
-	case s.leftSince == 0:
-		s.leftSince = now
-		c = choice{}
-	case now-s.leftSince < leaveTime*clock.Millis(s.book.WaitingNodes()):
-		c = choice{}
-	default: // one in leaveTime over the fleet: all nodes see the same slots
+		return c
+	}
+	if s.leftSince == 0 {
 		s.leftSince = now
 	}
+	if !p.takesLeft(now) {
+		return choice{}
+	}
 	return c
 }
 
+// takesLeft reports whether a slot that was left to others is to be used here. All nodes that have waiters see the same slot,
+// so each draws, for one in leaveTime over the fleet.
+func (p *Pool) takesLeft(now clock.Millis) bool {
+	s := p.shares
+	if now-s.leftSince < leaveTime || now-s.drawnAt < reportInterval {
+		return false
+	}
+	s.drawnAt = now
+	return p.rand.Float64()*float64(s.book.WaitingNodes()) < float64(reportInterval)/float64(leaveTime)
+}
+
 // expectedFairWait estimates the wait in the order that shares make: for a slot behind the waiters that go before, of which
 // over requests are at targets beyond their slots already, and for the workspace's own share.
 func (p *Pool) expectedFairWait(a *Request, over int, slots float64) clock.Millis {
