--- a/pool/shares.go
+++ b/pool/shares.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// leaveTime is how long a free slot is left to the waiters of other nodes: three intervals of reports within a hall. From
-	// then on one in leaveTime is used in spite of them.
+	// leaveTime is how long a free slot is left to the waiters of other nodes: three intervals of reports within a hall. Then
+	// it is used in spite of them.
 	leaveTime clock.Millis = 60
 	// reportInterval is the time between a node's reports within a hall; maxUntold bounds the share of the requests known to
 	// be in flight that have ended meanwhile.
@@ -127,15 +127,26 @@
 	return c
 }
 
+// freeSlots returns how many slots the usable targets are known to have free.
+func (p *Pool) freeSlots(now clock.Millis) int {
+	n := 0
+	for _, t := range p.order {
+		if p.usable(t, now) {
+			n += max(t.Slots-p.inFlight(t, now), 0)
+		}
+	}
+	return n
+}
+
 // takesLeft reports whether a slot that was left to others is to be used here. All nodes that have waiters see the same slot,
-// so each draws, for one in leaveTime over the fleet.
+// so each draws, for each of the free slots once in leaveTime over the fleet.
 func (p *Pool) takesLeft(now clock.Millis) bool {
 	s := p.shares
 	if now-s.leftSince < leaveTime || now-s.drawnAt < reportInterval {
 		return false
 	}
 	s.drawnAt = now
-	return p.rand.Float64()*float64(s.book.WaitingNodes()) < float64(reportInterval)/float64(leaveTime)
+	return p.rand.Float64()*float64(s.book.WaitingNodes()) < float64(p.freeSlots(now))*float64(reportInterval)/float64(leaveTime)
 }
 
 // expectedFairWait estimates the wait in the order that shares make: for a slot behind the waiters that go before, of which
