--- a/pool/fair/book.go
+++ b/pool/fair/book.go
@@ -174,6 +174,9 @@
 // Apply replaces what another node claims. An older claim than the last one, and one that claims more than can be,
 // changes nothing.
 func (b *Book) Apply(from ident.Process, seq uint64, named []Claim, others Claim, now clock.Millis) {
+	if len(b.peers) > 0 {
+		b.expire(now)
+	}
 	old := b.peers[from]
 	if old != nil && seq < old.seq && now-old.at <= b.ttl {
 		return
--- a/pool/shares_test.go
+++ b/pool/shares_test.go
@@ -162,7 +162,11 @@
 	is.Equal(n.Report(false), nil)
 	n.fill(t, "a", 0, 1)
 	is.Equal(n.Report(false).GetHeaviest()[0].GetWaiting(), uint32(1))
-	is.True(len(n.changes) > 0) // the daemon is told to report
+	for told := false; !told; time.Sleep(100 * time.Microsecond) { // the daemon is to report
+		n.mu.Lock()
+		told = len(n.changes) > 0
+		n.mu.Unlock()
+	}
 }
 
 // TestOldReportsLeaveSharesAlone has a node of before the change report: nothing is known of its workspaces, and a request
