--- a/cmd/tinladderctl/control.go
+++ b/cmd/tinladderctl/control.go
@@ -65,6 +65,8 @@
 		return workspaces(ctx, c.out, args.Spaces)
 	case args.Held != nil:
 		return c.quarantine(ctx)
+	case args.Room != nil:
+		return c.room(ctx)
 	case args.Lift != nil:
 		return c.lift(ctx, args.Lift)
 	case args.Resolve != nil:
--- a/cmd/tinladderctl/main.go
+++ b/cmd/tinladderctl/main.go
@@ -95,6 +95,7 @@
 	Explain  *explainCmd    `arg:"subcommand:explain" help:"say from the nodes' logs what became of a request"`
 	Spaces   *workspacesCmd `arg:"subcommand:workspaces" help:"show what workspaces with a limit made of it, from the nodes' metrics"`
 	Held     *emptyCmd      `arg:"subcommand:quarantine" help:"list the requests under which targets crashed"`
+	Room     *emptyCmd      `arg:"subcommand:room" help:"show who holds the room of services, whom they admit, and what is left of limits"`
 	Lift     *liftCmd       `arg:"subcommand:lift" help:"have a request that is held back be sent again"`
 	Resolve  *resolveCmd    `arg:"subcommand:resolve" help:"settle a change whose fate is not known"`
 	Leave    *emptyCmd      `arg:"subcommand:leave" help:"make the node leave the fleet"`
@@ -118,6 +119,7 @@
   tinladderctl report --logs node1.log node2.log
   tinladderctl report --every 2s --logs node1.log node2.log
   tinladderctl report --plot night.png --logs *.log
+  tinladderctl room
   tinladderctl quarantine
   tinladderctl lift 9f2c04d1a7be56380c1d2e3f40516273
   tinladderctl workspaces 10.0.1.4:7200 10.0.2.4:7200
--- a/pool/status.go
+++ b/pool/status.go
@@ -36,6 +36,8 @@
 	// Slower is how many times longer than the median target the target is estimated to take for the same work, and
 	// SpeedSamples how many recent samples of all nodes stand behind that; 1 and 0 if nothing is known.
 	Slower, SpeedSamples float64
+	// Slow says that the target counts as slow.
+	Slow bool
 }
 
 // Status returns the state of each target.
@@ -46,7 +48,7 @@
 	p.updateSpeeds(now)
 	list := make([]Status, len(p.order))
 	for i, t := range p.order {
-		s := Status{Target: t.ID, InFlight: p.inFlight(t, now), Failing: t.belief.FailingProb(&p.tuning.Model, now), Slower: t.speed.factor, SpeedSamples: t.speed.samples}
+		s := Status{Target: t.ID, InFlight: p.inFlight(t, now), Failing: t.belief.FailingProb(&p.tuning.Model, now), Slower: t.speed.factor, SpeedSamples: t.speed.samples, Slow: t.speed.slow}
 		switch {
 		case t.Leaving || t.announcedLeave:
 			s.Condition = Leaving
--- a/schema/tinladder/v1/tinladderv1connect/operator.connect.go
+++ b/schema/tinladder/v1/tinladderv1connect/operator.connect.go
@@ -57,6 +57,8 @@
 	OperatorServiceQuarantineProcedure = "/tinladder.v1.OperatorService/Quarantine"
 	// OperatorServiceLiftProcedure is the fully-qualified name of the OperatorService's Lift RPC.
 	OperatorServiceLiftProcedure = "/tinladder.v1.OperatorService/Lift"
+	// OperatorServiceRoomProcedure is the fully-qualified name of the OperatorService's Room RPC.
+	OperatorServiceRoomProcedure = "/tinladder.v1.OperatorService/Room"
 )
 
 // OperatorServiceClient is a client for the tinladder.v1.OperatorService service.
@@ -72,6 +74,7 @@
 	Leave(context.Context, *connect.Request[v1.LeaveRequest]) (*connect.Response[v1.LeaveResponse], error)
 	Quarantine(context.Context, *connect.Request[v1.QuarantineRequest]) (*connect.Response[v1.QuarantineResponse], error)
 	Lift(context.Context, *connect.Request[v1.LiftRequest]) (*connect.Response[v1.LiftResponse], error)
+	Room(context.Context, *connect.Request[v1.RoomRequest]) (*connect.Response[v1.RoomResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the tinladder.v1.OperatorService service. By
@@ -151,6 +154,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Lift")),
 			connect.WithClientOptions(opts...),
 		),
+		room: connect.NewClient[v1.RoomRequest, v1.RoomResponse](
+			httpClient,
+			baseURL+OperatorServiceRoomProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Room")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -167,6 +176,7 @@
 	leave      *connect.Client[v1.LeaveRequest, v1.LeaveResponse]
 	quarantine *connect.Client[v1.QuarantineRequest, v1.QuarantineResponse]
 	lift       *connect.Client[v1.LiftRequest, v1.LiftResponse]
+	room       *connect.Client[v1.RoomRequest, v1.RoomResponse]
 }
 
 // Apply calls tinladder.v1.OperatorService.Apply.
@@ -224,6 +234,11 @@
 	return c.lift.CallUnary(ctx, req)
 }
 
+// Room calls tinladder.v1.OperatorService.Room.
+func (c *operatorServiceClient) Room(ctx context.Context, req *connect.Request[v1.RoomRequest]) (*connect.Response[v1.RoomResponse], error) {
+	return c.room.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the tinladder.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	Apply(context.Context, *connect.Request[v1.ApplyRequest]) (*connect.Response[v1.ApplyResponse], error)
@@ -237,6 +252,7 @@
 	Leave(context.Context, *connect.Request[v1.LeaveRequest]) (*connect.Response[v1.LeaveResponse], error)
 	Quarantine(context.Context, *connect.Request[v1.QuarantineRequest]) (*connect.Response[v1.QuarantineResponse], error)
 	Lift(context.Context, *connect.Request[v1.LiftRequest]) (*connect.Response[v1.LiftResponse], error)
+	Room(context.Context, *connect.Request[v1.RoomRequest]) (*connect.Response[v1.RoomResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -312,6 +328,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Lift")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceRoomHandler := connect.NewUnaryHandler(
+		OperatorServiceRoomProcedure,
+		svc.Room,
+		connect.WithSchema(operatorServiceMethods.ByName("Room")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/tinladder.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceApplyProcedure:
@@ -336,6 +358,8 @@
 			operatorServiceQuarantineHandler.ServeHTTP(w, r)
 		case OperatorServiceLiftProcedure:
 			operatorServiceLiftHandler.ServeHTTP(w, r)
+		case OperatorServiceRoomProcedure:
+			operatorServiceRoomHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -388,3 +412,7 @@
 func (UnimplementedOperatorServiceHandler) Lift(context.Context, *connect.Request[v1.LiftRequest]) (*connect.Response[v1.LiftResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tinladder.v1.OperatorService.Lift is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) Room(context.Context, *connect.Request[v1.RoomRequest]) (*connect.Response[v1.RoomResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tinladder.v1.OperatorService.Room is not implemented"))
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -143,8 +143,6 @@
 	UrgencyLevel bool `toml:"urgency_level"`
 	// TargetSpeeds sends to each target by how fast it is relative to the others.
 	TargetSpeeds bool `toml:"target_speeds"`
-	// NodeLoad directs callers to the nodes that have the most room.
-	NodeLoad bool `toml:"node_load"`
 	// LimitOrder spends a workspace's limit on its urgent requests first while it asks for more than the limit.
 	LimitOrder bool `toml:"limit_order"`
 }
