Limits keep their reserve: restarts in series and two starts exceeded the bound

Causes: a process took all others for young for 3 s, as long as such a restart takes, and had a share from its start on that others were using; and the smaller reserve.

TestLimitHoldsOverRestartsInSeries has the failing seeds: red with the code as merged (four of them), green now.

--- a/limit/ledger.go
+++ b/limit/ledger.go
@@ -8,8 +8,8 @@
 )
 
 // slotsPerWindow is the time resolution of a ledger. What is taken within a slot counts as taken at its latest time, so
-// a workspace that stays at its limit loses half a slot per window, 1 %.
-const slotsPerWindow = 50
+// a workspace that stays at its limit loses half a slot per window, 2 %.
+const slotsPerWindow = 25
 
 // allocation is the share of each limit that the node holds from a time on.
 type allocation struct {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -31,14 +31,14 @@
 	// loanTTL is how long after the request for it a loan may be in transit, or be used beyond what the borrower may
 	// save. The lender can't save what it lent during that time, so a loan is in one account at any time.
 	loanTTL clock.Millis = 500
-	// rateShare is the fraction of the rate allowed over a window that accrues continuously: with an overshoot of 0.1,
-	// what a workspace may ask for all the time.
-	rateShare = 0.91
-	// initialShare is the fraction of the requests allowed in a window that a fleet has at a cold start; there may be
-	// two cold starts in a window. reserveShare is the fraction that is kept back for these, and for periods in which
-	// nodes have different views of the fleet. The rest may be saved for bursts.
-	initialShare = 0.01
-	reserveShare = 0.05
+	// rateShare is the fraction of the rate allowed over a window that accrues continuously. The rest is for bursts and
+	// cold starts.
+	rateShare = 0.85
+	// burstShare is the fraction of the remaining headroom that may be saved for bursts, and initialShare the fraction
+	// that a fleet has at a cold start, when all requests refused meanwhile are retried at once; there may be two cold
+	// starts in a window. What is left covers periods in which nodes have different views of the fleet.
+	burstShare   = 0.66
+	initialShare = 0.14
 )
 
 // perMilli returns how many requests accrue per millisecond over all nodes.
@@ -46,14 +46,19 @@
 	return r.PerSecond / float64(clock.Second) * (1 + b.Overshoot) * rateShare
 }
 
+// headroom returns how many requests the window allows beyond those that accrue in it.
+func (b Bounds) headroom(r Rate) float64 {
+	return b.Allowed(r) - b.perMilli(r)*float64(b.Window)
+}
+
 // capacity returns how many requests all nodes together may save.
 func (b Bounds) capacity(r Rate) float64 {
-	return b.Allowed(r)*(1-reserveShare) - b.perMilli(r)*float64(b.Window)
+	return b.headroom(r) * burstShare
 }
 
 // initial returns how many requests all nodes together have at a cold start.
 func (b Bounds) initial(r Rate) float64 {
-	return b.Allowed(r) * initialShare
+	return b.headroom(r) * initialShare
 }
 
 // grant returns the quota of a node that had these allocations. If the whole fleet cold-started when the first
--- a/limit/start_test.go
+++ b/limit/start_test.go
@@ -141,3 +141,53 @@
 		}
 	}
 }
+
+// restartInSeries restarts all processes one after the other within about the given time, each of which is down for a
+// while.
+func (f *fleet) restartInSeries(total, down clock.Millis, load func(w ident.Workspace, n *node) float64) {
+	per := max(total/clock.Millis(len(f.nodes))/step*step, step)
+	down = min(down, per) / step * step
+	for _, n := range f.nodes {
+		n.down = true
+		f.run(down, rates, load)
+		f.start(n)
+		f.run(per-down, rates, load)
+	}
+}
+
+// TestLimitHoldsOverRestartsInSeries floods fleets whose processes all restart one after the other, or at nearly the same
+// time twice, and notice lost contact late. With a longer time in which a process takes all others for young, or with a
+// smaller reserve, windows of these seeds exceeded the bound by up to 0.02.
+func TestLimitHoldsOverRestartsInSeries(t *testing.T) {
+	t.Parallel()
+	const flood = 8
+	cases := []struct {
+		name string
+		play func(f *fleet)
+	}{
+		{"in series twice", func(f *fleet) {
+			f.restartInSeries(2800, 50, f.loadOnAll(flood))
+			f.restartInSeries(2000, 50, f.loadOnAll(flood))
+		}},
+		{"all twice", func(f *fleet) {
+			f.killAllStaggered(200, 500, f.loadOnAll(flood))
+			f.run(1500, rates, f.loadOnAll(flood))
+			f.killAllStaggered(200, 500, f.loadOnAll(flood))
+		}},
+	}
+	for _, c := range cases {
+		for _, size := range []struct{ nodes, carriers int }{{13, 6}, {24, 10}} {
+			for _, seed := range []uint64{1001, 1005, 1007, 1011} {
+				t.Run(fmt.Sprintf("%s, %d of %d nodes, %d", c.name, size.carriers, size.nodes, seed), func(t *testing.T) {
+					t.Parallel()
+					f := startingFleet(t, size.nodes, size.carriers, seed)
+					f.detectionDelay = clock.Millis((seed-1000)%3) * 400
+					f.run(9*clock.Second, rates, f.loadOnAll(flood))
+					c.play(f)
+					f.run(6*clock.Second, rates, f.loadOnAll(flood))
+					f.check(c.name)
+				})
+			}
+		}
+	}
+}
--- a/limit/startup.go
+++ b/limit/startup.go
@@ -10,9 +10,9 @@
 const (
 	// StartupPeriod is how long after its start a process assumes that it may not know all nodes yet.
 	StartupPeriod = 2 * clock.Second
-	// ColdStartPeriod is how long after its start a process may find that all others have just started too. It is longer
-	// than StartupPeriod, so that a node whose view settles last still gets its share from its start on.
-	ColdStartPeriod = 3 * clock.Second
+	// ColdStartPeriod is how long after its start a process may find that all others have just started too. It is shorter
+	// than a restart of all nodes one after the other takes, in which those that have not restarted use their shares.
+	ColdStartPeriod = StartupPeriod
 	// settledPeriod is how long the nodes or the sharers in view must stay the same for all to be considered known.
 	settledPeriod clock.Millis = 350
 	// sharersSettledPeriod is the same for the sharers of a node that knows few others beside them. Such a node takes
