--- a/pool/urgency/urgency.go
+++ b/pool/urgency/urgency.go
@@ -92,9 +92,7 @@
 
 // A Control decides for one service on one node. It is not safe for concurrent use.
 type Control struct {
-	ttl    clock.Millis
-	random func() float64
-
+	ttl clock.Millis
 	own Rates
 	// peers are in the order of their names: sums over them are the same at each run.
 	peers []peer
