--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -90,9 +90,10 @@
 	}
 }
 
-// A case plays one situation. It reports whether the rule was broken.
+// A scenario plays one situation. It reports whether the rule was broken.
 type scenario func(r *record, trouble bool) (bool, error)
 
+// scenarios are those of the three cases, duplex, poison and stranger, and two more that the report tells of.
 var scenarios = map[string]scenario{
 	"duplex":   playDuplex,
 	"attempts": playAttempts,
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,14 +19,29 @@
 	// retriesBorne is how often such a request may reach upstreams later than contact after it crashed the third, by the rule.
 	retriesBorne = 3
 	crashesKnown = 3
+	// leaveAfter is when a requester leaves that does not wait for its answer.
+	leaveAfter = 150 * time.Millisecond
+)
+
+// Other forms of such a request, by the variable FORM. In each the body always comes with a length.
+const (
+	// formOne differs from the case in nothing else.
+	formOne = "one"
+	// formLeave is a repeatable request whose requester leaves before the crash.
+	formLeave = "leave"
 )
 
 // playPoison has a request crash each upstream that begins to run it. It comes again every few seconds with the same path,
 // caller and body, in chunks and with a length by turns.
 func playPoison(r *record, trouble bool) (bool, error) {
+	form := os.Getenv("FORM")
+	kind := standin.RunOnce
+	if form == formLeave {
+		kind = standin.Repeatable
+	}
 	f, err := startFleet(3, nil, func(s *standin.Store) {
 		s.Configure(1, []string{"refund-clerk"}, standin.RouteRow{
-			Name: "refund", Host: host, Prefix: "/refund/", Kind: standin.RunOnce, Timeout: "3s", Aim: "800ms", Service: "refund-clerk", Attempts: 2,
+			Name: "refund", Host: host, Prefix: "/refund/", Kind: kind, Timeout: "3s", Aim: "800ms", Service: "refund-clerk", Attempts: 2,
 		})
 	})
 	defer f.stop()
@@ -66,12 +80,18 @@
 	q := newRequesters(f)
 	ctx, cancel := context.WithTimeout(context.Background(), 75*time.Second)
 	defer cancel()
-	one := os.Getenv("FRAMING") == "one"
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		time.Sleep(5 * time.Second)
 		for i := 0; ctx.Err() == nil; i++ {
-			t := &try{method: http.MethodPost, path: poisonPath, deadlineMs: 3000, payload: []byte("refund of order 17"), chunked: i%2 == 1 && !one, node: f.nodes[i%len(f.nodes)]}
+			t := &try{method: http.MethodPost, path: poisonPath, deadlineMs: 3000, payload: []byte("refund of order 17"), node: f.nodes[i%len(f.nodes)]}
+			switch form {
+			case formOne:
+			case formLeave:
+				t.patience = leaveAfter
+			default:
+				t.chunked = i%2 == 1
+			}
 			wg.Go(func() { q.send(t) })
 			select {
 			case <-time.After(poisonEvery):
@@ -90,19 +110,14 @@
 			r.say("log of %s", line)
 		}
 	}
-	var arrivals []time.Time
+	reached, retries := 0, 0
 	for _, u := range upstreams {
 		for _, a := range u.seen() {
-			if a.path == poisonPath {
-				arrivals = append(arrivals, a.at)
+			if a.path != poisonPath {
+				continue
 			}
-		}
-	}
-	slices.SortFunc(arrivals, time.Time.Compare)
-	retries := 0
-	if len(crashes) >= crashesKnown {
-		for _, at := range arrivals {
-			if at.After(crashes[crashesKnown-1].Add(contact)) {
+			reached++
+			if len(crashes) >= crashesKnown && a.at.After(crashes[crashesKnown-1].Add(contact)) {
 				retries++
 			}
 		}
@@ -121,7 +136,7 @@
 			lost++
 		}
 	}
-	r.sum("crashes: %d; the request reached upstreams %d times, of which %d later than %v after the third crash (the rule bears %d)", len(crashes), len(arrivals), retries, contact, retriesBorne)
-	r.sum("other requests that upstreams had begun to run, and whose requesters got no success: %d of %d", lost, len(q.all())-len(arrivals))
+	r.sum("crashes: %d; the request reached upstreams %d times, of which %d later than %v after its third crash (the rule bears %d)", len(crashes), reached, retries, contact, retriesBorne)
+	r.sum("other requests that upstreams had begun to run, and whose requesters got no success: %d of %d", lost, len(q.all())-reached)
 	return retries > retriesBorne, nil
 }
--- a/review/stand/requester.go
+++ b/review/stand/requester.go
@@ -33,6 +33,10 @@
 	// keep says that the request goes on a connection that is kept.
 	keep       bool
 	responseID string
+	// leaving says that the answer said that its upstream leaves.
+	leaving bool
+	// patience is how long the requester waits before it leaves; 0 for its time limit.
+	patience time.Duration
 }
 
 // requesters send requests to nodes and note what becomes of them.
@@ -57,7 +61,11 @@
 
 // send makes one try and waits for its answer, for its time limit and half a second.
 func (q *requesters) send(t *try) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(t.deadlineMs+500)*time.Millisecond)
+	patience := time.Duration(t.deadlineMs+500) * time.Millisecond
+	if t.patience > 0 {
+		patience = t.patience
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	if t.id == "" {
 		t.id = fmt.Sprintf("%016x", 0x9c41d07b00000000+q.count.Add(1))
@@ -94,7 +102,7 @@
 	_ = res.Body.Close()
 	t.end, t.err, t.status, t.body = time.Now(), err, res.StatusCode, string(raw)
 	t.signature, t.retryAfter = res.Header.Get("X-Upstream-Signature"), res.Header.Get("Retry-After")
-	t.responseID = res.Header.Get("X-Request-Id")
+	t.responseID, t.leaving = res.Header.Get("X-Request-Id"), res.Header.Get("Server-Leaving") != ""
 }
 
 // stream sends tries that make returns, perSecond of them, to the nodes in turn until the context ends, and waits for their
