Long bodies have one reader: targets that answered early got other bytes than were sent

Found on the way, same code: no answer at all for a caller whose long body had stopped coming, if the target had answered early (a success, a failure or "not run"); the connection closed at the deadline.

Cause: net/http's server reads up to 256 KB of what is left of a body before it writes a header, unless the connection is about to close, while the sender reads the same body for the target. For a stalled caller it waits until the read deadline, which is the write deadline too. Evidence: the line of the log that came with, body="176128/204800 complete": the sender saw the end of the body and was never given the missing bytes. Ruled out: the sender's buffers (same line), the filter of framing (the same bodies pass whole if the target reads first).

The request keeps its own body, by which net/http sees whether it was read. Problems carry their length, since they may be flushed before the handler returns.

--- a/node/cut_off_test.go
+++ b/node/cut_off_test.go
@@ -108,7 +108,7 @@
 		},
 	})
 	for i := range 6 {
-		f.targetInHall(fmt.Sprint("t", i), "desk", fmt.Sprint("h", i%3))
+		f.targets = append(f.targets, f.targetInHall(fmt.Sprint("t", i), "desk", fmt.Sprint("h", i%3)))
 	}
 	f.calm(1)
 	f.ready(1, 6)
@@ -116,13 +116,14 @@
 }
 
 // targetInHall starts a target that takes 40 ms for a request.
-func (f *fleet) targetInHall(id, service, hall string) {
+func (f *fleet) targetInHall(id, service, hall string) *standin.Target {
 	f.t.Helper()
 	x, err := standin.NewTarget(f.store, id, service, hall, 3, 40*time.Millisecond)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(x.Close)
+	return x
 }
 
 // callEach has each node get run-once and repeatable requests in turn until stop is called, which returns the replies.
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -54,7 +54,9 @@
 	id       string
 	began    clock.Millis
 	deadline clock.Millis
-	body     []byte
+	// bodyLimit is the most bytes of the body; 0 is unlimited.
+	bodyLimit int64
+	body      []byte
 	// stream is a body that is too long to be held; body is empty then.
 	stream *streamedBody
 	// head is the start of a body that is streamed, for its fingerprint.
@@ -112,6 +114,13 @@
 		x.rejectBody(err, NotRun)
 		return
 	}
+	defer x.dropBody()
+	x.serveBody(t)
+	x.stopBody()
+}
+
+// serveBody does so once the body has been read, or the beginning of a long one.
+func (x *exchange) serveBody(t ticket) {
 	if x.refuseIfHeld(t) {
 		return
 	}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -34,7 +34,9 @@
 	clock clock.Clock
 	store *standin.Store
 	nodes []*testNode
-	http  *http.Client
+	// targets are those of a fleet that can be cut off from them.
+	targets []*standin.Target
+	http    *http.Client
 	// via maps the address of the store to the one by which nodes reach it.
 	via func(store string) string
 	// linkBytes is the bandwidth of each node's link in bytes per second; 0 is unlimited.
--- a/node/front.go
+++ b/node/front.go
@@ -96,6 +96,7 @@
 		return nil, problem
 	}
 	x := newExchange(n, w, r, route, n.platform.Protocol.Headers, arrived)
+	x.bodyLimit = t.Limits.BodyBytes
 	x.stripKey = t.Access != nil
 	x.allowedHalls = n.allowedHalls(route, workspace)
 	if problem := x.checkLeaving(NotRun); problem != nil || workspace == nil {
@@ -153,13 +154,9 @@
 	if l.HeaderBytes > 0 && headerBytes(r) > l.HeaderBytes {
 		return &Problem{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "the header is too large"}
 	}
-	if l.BodyBytes <= 0 {
-		return nil
-	}
-	if r.ContentLength > l.BodyBytes {
+	if l.BodyBytes > 0 && r.ContentLength > l.BodyBytes {
 		return &Problem{Status: http.StatusRequestEntityTooLarge, Detail: "the body is too large"}
 	}
-	r.Body = http.MaxBytesReader(nil, r.Body, l.BodyBytes)
 	return nil
 }
 
--- a/node/outgoing.go
+++ b/node/outgoing.go
@@ -73,19 +73,47 @@
 	if x.r.ContentLength == 0 {
 		return nil
 	}
-	body := reading.Body(x.r)
+	body := reading.Body(x.r, x.bodyLimit)
 	limit := maxBufferedBody + 1
 	if x.r.ContentLength > maxBufferedBody {
 		limit = maxFingerprintedBody
 	}
 	x.body, err = x.readUpTo(body, limit)
 	if err == nil && (len(x.body) > maxBufferedBody || x.r.ContentLength > maxBufferedBody) {
-		x.stream = newStreamedBody(io.MultiReader(bytes.NewReader(x.body), body), x.r.ContentLength)
-		x.head, x.body = x.body[:min(len(x.body), maxFingerprintedBody)], nil
+		x.streamBody(body)
 	}
 	return err
 }
 
+// streamBody has the rest of the body sent to a target as it arrives.
+func (x *exchange) streamBody(rest io.Reader) {
+	x.stream = newStreamedBody(io.MultiReader(bytes.NewReader(x.body), rest), x.r.ContentLength, x.w)
+	x.w = &streamedBodyWriter{ResponseWriter: x.w, body: x.stream}
+	x.head, x.body = x.body[:min(len(x.body), maxFingerprintedBody)], nil
+}
+
+// stopBody ends the sending of a streamed body once its request has been answered. The caller gets the answer at once and has
+// some time to send the rest, which is discarded: a connection that is closed with unread bytes is reset, and the caller may
+// lose the answer.
+func (x *exchange) stopBody() {
+	if x.stream == nil || x.stream.complete.Load() {
+		return
+	}
+	_ = http.NewResponseController(x.w).Flush()
+	wait := callerGrace
+	if x.node.leaving.pendingCanceled() {
+		wait = 0
+	}
+	x.stream.stop(wait)
+}
+
+// dropBody ends the sending of a streamed body whose request is cut off.
+func (x *exchange) dropBody() {
+	if x.stream != nil {
+		x.stream.stop(0)
+	}
+}
+
 // readUpTo reads at most limit bytes of a body. When the node shuts down it stops waiting for the rest, so that the
 // caller still gets a response.
 func (x *exchange) readUpTo(body io.Reader, limit int) ([]byte, error) {
--- a/node/own.go
+++ b/node/own.go
@@ -96,8 +96,8 @@
 }
 
 func (n *Node) runOwn(w http.ResponseWriter, r *http.Request, route *ownRoute, passed string) {
-	r.Body = http.MaxBytesReader(nil, r.Body, n.settings().Limits.BodyBytes)
 	x := newExchange(n, w, r, route.Route, ownHeaders, n.clock.Now())
+	x.bodyLimit = n.settings().Limits.BodyBytes
 	x.owner = route.service.String()
 	if p := x.checkLeaving(rejectedOutcome(r)); p != nil {
 		n.refuse(w, r, *p)
--- a/node/pass.go
+++ b/node/pass.go
@@ -49,6 +49,12 @@
 		x.rejectBody(err, Unknown)
 		return
 	}
+	defer x.dropBody()
+	x.sendToHome(address)
+	x.stopBody()
+}
+
+func (x *exchange) sendToHome(address string) {
 	ctx, cancel := x.context()
 	defer cancel()
 	a, err := x.node.nodes.Send(ctx, address, x.request(x.passedHeader(passToHome)))
--- a/node/problem.go
+++ b/node/problem.go
@@ -53,8 +53,10 @@
 		h.Set(HeaderRetryAfterMs, strconv.FormatInt(int64(p.RetryAfter), 10))
 	}
 	p.Title = http.StatusText(p.Status)
+	body, _ := json.Marshal(p) // texts and numbers only
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(p.Status)
-	_ = json.NewEncoder(w).Encode(p)
+	_, _ = w.Write(body)
 }
 
 // retryAfter returns the value of Retry-After, rounded up to whole seconds unless the caller accepts fractions.
--- a/node/raw_own_test.go
+++ b/node/raw_own_test.go
@@ -42,6 +42,8 @@
 			{PathPrefix: "/get/", Repeat: tlv1.Repeat_REPEAT_ALLOWED, DeadlineMs: 1000},
 			{PathPrefix: "/once/", Repeat: tlv1.Repeat_REPEAT_ONCE, DeadlineMs: 1000},
 			{PathPrefix: "/free/", Repeat: tlv1.Repeat_REPEAT_ONCE, KeyOptional: true, DeadlineMs: 1000},
+			{PathPrefix: "/patient/once/", Repeat: tlv1.Repeat_REPEAT_ONCE, DeadlineMs: patient},
+			{PathPrefix: "/patient/get/", Repeat: tlv1.Repeat_REPEAT_ALLOWED, DeadlineMs: patient},
 		},
 		Targets: []*tlv1.Target{{Id: "t-1", Address: tap.address(), Slots: 3, Hall: "h0"}},
 	}}})
