A status alone does not say that a request was not run: requests ran on more targets than allowed

Cause: two readings of one attempt. What a caller is told went by the target's word; the count of attempts went by the outcome for the choice of targets, where every 503 and 429 is "shed", so such an attempt did not count as run. Ruled out: the hedge and the policy (attempt.Next), which read the count and were right by it.

forward.Headers.ExecutionOf is the one place that tells ran, not run, may have run; the count, hedges, the next step, the outcome and what is told when no target is left read it. An attempt that ended before a byte was sent counts as not run whatever ended it; a time-out while connecting counted as run before. The choice of targets stays as it was: 503 and 429 are "shed" there.

TestStatusAloneDoesNotSayNotRun: 6 targets for one request with 503 and with 429 before, 2 now; run-once requests were right before and are. TestExecution is the table.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -295,18 +295,13 @@
 
 // countAttempt records whether a target may have run the request in an attempt that has ended.
 func (x *exchange) countAttempt(e attemptEnd) {
-	x.lastShed = e.outcome == pool.Shed || e.outcome == pool.Replaced
-	if !x.lastShed && e.outcome != pool.Unreachable {
+	execution := x.headers.ExecutionOf(e.response, e.err)
+	x.lastShed = e.response != nil && execution == forward.NotRun
+	if execution != forward.NotRun {
 		x.ran++
 	}
 }
 
-// notRun reports whether the target declares that it did not run the request.
-func (x *exchange) notRun(a *forward.Response) bool {
-	return x.headers.NotRun != "" && a.Header.Get(x.headers.NotRun) != "" ||
-		x.headers.Instance != "" && a.Status == http.StatusMisdirectedRequest
-}
-
 // outcome classifies an attempt that has ended.
 func (x *exchange) outcome(ctx context.Context, a *forward.Response, err error, l *pool.Lease, took clock.Millis) pool.Outcome {
 	timeout := err != nil && x.node.clock.Now() >= x.deadline-deadlineMargin || err == nil && a.Status == http.StatusGatewayTimeout
@@ -327,9 +322,9 @@
 		return pool.Unreachable
 	case err != nil:
 		return pool.ConnectionLost
-	case x.headers.Instance != "" && a.Status == http.StatusMisdirectedRequest:
+	case x.headers.IsReplaced(a):
 		return pool.Replaced
-	case x.notRun(a):
+	case x.headers.ExecutionOf(a, nil) == forward.NotRun:
 		return pool.Shed
 	case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests:
 		return pool.Shed
@@ -354,11 +349,12 @@
 
 // attemptResult returns what the decision on the next step needs of an attempt's end.
 func (x *exchange) attemptResult(a *forward.Response, err error) attempt.Result {
+	notRun := x.headers.ExecutionOf(a, err) == forward.NotRun
 	if err != nil {
-		return attempt.Result{Unsent: !errors.Is(err, forward.ErrSent)}
+		return attempt.Result{Unsent: notRun}
 	}
 	return attempt.Result{
-		Answered: true, Failed: a.Status >= http.StatusInternalServerError || a.Status == http.StatusTooManyRequests, NotRun: x.notRun(a),
+		Answered: true, Failed: a.Status >= http.StatusInternalServerError || a.Status == http.StatusTooManyRequests, NotRun: notRun,
 	}
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -76,7 +76,7 @@
 	ConnectionLost
 	// Unreachable means that the target accepted no connection.
 	Unreachable
-	// Shed means that the target was full and turned the request away without running it.
+	// Shed means that the target's response asks to come back later. Whether it ran the request is another question.
 	Shed
 	// Replaced means that the target is no longer at its address.
 	Replaced
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -149,6 +149,8 @@
 		o.breach("once", "%s ran %d times", s, runs)
 	case s.once && runs > 0 && isPromise(s.status):
 		o.breach("not run", "%s ran", s)
+	case !s.once && runs > routeAttempts:
+		o.breach("attempts", "%s ran %d times, where its route allows %d", s, runs, routeAttempts)
 	case s.status == http.StatusOK && runs == 0:
 		o.breach("own answer", "%s was answered and never ran", s)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -16,7 +16,9 @@
 // The promises' bounds, as in the settings that the nodes get; the slacks are for this machine.
 const (
 	routeTimeout = 1500 * time.Millisecond
-	grace        = 4 * time.Second
+	// routeAttempts is the most targets that a request may run on.
+	routeAttempts = 3
+	grace         = 4 * time.Second
 	// keptFor is how long after it was told to stop a node keeps connections that rest, less a little.
 	keptFor      = grace * 80 / 100
 	drainTimeout = 2 * time.Second
--- a/soak/world.go
+++ b/soak/world.go
@@ -317,7 +317,7 @@
 func route(name, prefix, kind, service string) standin.RouteRow {
 	return standin.RouteRow{
 		Name: name, Host: host, Prefix: prefix, Kind: kind, Timeout: fmt.Sprintf("%dms", routeTimeout.Milliseconds()),
-		Aim: "400ms", Service: service, Attempts: 3,
+		Aim: "400ms", Service: service, Attempts: routeAttempts,
 	}
 }
 
