The soak sends long bodies, has targets answer early, and compares bodies byte by byte

New: callers that send bodies of 70 to 300 KB in pieces, in chunks or with a length, and read the answer meanwhile (two in a usual run); the named fault "targets answer early" (2, 300 or 600 KB, any part ahead of the body, in chunks or with a length, after 100, or cut); the check "body": what a target read of a request that ran is what was sent, or the beginning of it and then the connection's end. Named, so that the draws of the seeds stay as they were.

--- a/cmd/tinladder-soak/main.go
+++ b/cmd/tinladder-soak/main.go
@@ -16,21 +16,22 @@
 )
 
 type arguments struct {
-	First    uint64        `arg:"--seed" default:"1" help:"the first seed; 0 draws them from the time"`
-	Seeds    int           `arg:"--seeds" default:"1" help:"how many seeds, one after the other"`
-	For      time.Duration `arg:"--for" help:"go on with fresh seeds for so long"`
-	Jobs     int           `arg:"--jobs" default:"1" help:"how many runs at a time"`
-	Nodes    int           `arg:"--nodes" default:"6"`
-	Targets  int           `arg:"--targets" default:"10"`
-	Rate     float64       `arg:"--rate" default:"80" help:"requests a second"`
-	Resting  int           `arg:"--resting" help:"callers' connections that rest for long between requests"`
-	Leavers  int           `arg:"--leavers" default:"2" help:"callers that do not wait for their answers"`
-	Crashers int           `arg:"--crashers" default:"1" help:"callers that send requests again and again that crash targets"`
-	Only     []string      `arg:"--only,separate" help:"a fault that may happen, by its name in the timeline; others do not"`
-	Planned  bool          `arg:"--planned" help:"only what operators do: stops in series, reloads, changes"`
-	Returns  bool          `arg:"--returns" help:"the store comes back from copies, beside faults of nodes, changes, and targets that come and go"`
-	Node     string        `arg:"--node" help:"the node's program; built if left out"`
-	Dir      string        `arg:"--dir" help:"where settings and logs go; those of failed seeds are kept there"`
+	First     uint64        `arg:"--seed" default:"1" help:"the first seed; 0 draws them from the time"`
+	Seeds     int           `arg:"--seeds" default:"1" help:"how many seeds, one after the other"`
+	For       time.Duration `arg:"--for" help:"go on with fresh seeds for so long"`
+	Jobs      int           `arg:"--jobs" default:"1" help:"how many runs at a time"`
+	Nodes     int           `arg:"--nodes" default:"6"`
+	Targets   int           `arg:"--targets" default:"10"`
+	Rate      float64       `arg:"--rate" default:"80" help:"requests a second"`
+	Resting   int           `arg:"--resting" help:"callers' connections that rest for long between requests"`
+	Leavers   int           `arg:"--leavers" default:"2" help:"callers that do not wait for their answers"`
+	Uploaders int           `arg:"--uploaders" default:"2" help:"callers that send long bodies"`
+	Crashers  int           `arg:"--crashers" default:"1" help:"callers that send requests again and again that crash targets"`
+	Only      []string      `arg:"--only,separate" help:"a fault that may happen, by its name in the timeline; others do not"`
+	Planned   bool          `arg:"--planned" help:"only what operators do: stops in series, reloads, changes"`
+	Returns   bool          `arg:"--returns" help:"the store comes back from copies, beside faults of nodes, changes, and targets that come and go"`
+	Node      string        `arg:"--node" help:"the node's program; built if left out"`
+	Dir       string        `arg:"--dir" help:"where settings and logs go; those of failed seeds are kept there"`
 }
 
 // Description is shown by --help.
@@ -113,7 +114,7 @@
 	cfg := soak.Usual(seed, args.Node, dir)
 	cfg.Nodes, cfg.Targets, cfg.Rate = args.Nodes, args.Targets, args.Rate
 	cfg.Resting, cfg.Planned = args.Resting, args.Planned
-	cfg.Leavers, cfg.Only = args.Leavers, args.Only
+	cfg.Leavers, cfg.Uploaders, cfg.Only = args.Leavers, args.Uploaders, args.Only
 	if args.Returns {
 		cfg.Only, args.Crashers = soak.Returns(seed, args.Node, dir).Only, 0
 	}
--- a/node/early_answer_test.go
+++ b/node/early_answer_test.go
@@ -54,14 +54,7 @@
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
-	start := time.Now()
-	res, err := f.http.Do(req)
-	if err != nil {
-		return reply{broken: true, took: time.Since(start)}
-	}
-	defer func() { _ = res.Body.Close() }()
-	got, err := io.ReadAll(res.Body)
-	return reply{status: res.StatusCode, header: res.Header, body: string(got), broken: err != nil, took: time.Since(start)}
+	return f.do(req)
 }
 
 // An earlyAnswerCase is a request with a long body, to a target that answers before it has read the body.
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -106,7 +106,8 @@
 	return x
 }
 
-// serve makes attempts until one ends the request, and notifies the ticket of how it ended.
+// serve reads the request's body, or the beginning of a long one, makes attempts until one ends the request, and notifies the
+// ticket of how it ended.
 func (x *exchange) serve(t ticket) {
 	x.setCallerDeadlines()
 	if err := x.readBody(); err != nil {
@@ -115,12 +116,12 @@
 		return
 	}
 	defer x.dropBody()
-	x.serveBody(t)
+	x.makeAttempts(t)
 	x.stopBody()
 }
 
-// serveBody does so once the body has been read, or the beginning of a long one.
-func (x *exchange) serveBody(t ticket) {
+// makeAttempts makes attempts until one ends the request.
+func (x *exchange) makeAttempts(t ticket) {
 	if x.refuseIfHeld(t) {
 		return
 	}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -367,6 +367,11 @@
 	req.GetBody = nil // prevents the client from sending it twice
 	req.Header.Set("X-Request-Id", id)
 	req.Header.Set(platform.Headers().Deadline, fmt.Sprint(deadline))
+	return f.do(req)
+}
+
+// do sends a request and reads its response.
+func (f *fleet) do(req *http.Request) reply {
 	start := time.Now()
 	res, err := f.http.Do(req)
 	if err != nil {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -33,6 +33,8 @@
 type sent struct {
 	id, path string
 	once     bool
+	// content is a long body; empty if the request has the short one.
+	content string
 	// patience is how long its caller waits, if not for long.
 	patience time.Duration
 	node     *process
@@ -87,6 +89,9 @@
 	for i := range c.world.cfg.Leavers {
 		c.wg.Go(func() { c.leave(ctx, i) })
 	}
+	for i := range c.world.cfg.Uploaders {
+		c.wg.Go(func() { c.upload(ctx, i) })
+	}
 	for i := range c.world.cfg.Crashers {
 		c.wg.Go(func() { c.crash(ctx, i) })
 	}
@@ -182,17 +187,26 @@
 	if s.patience > 0 {
 		_ = c.net.SetDeadline(s.at.Add(s.patience))
 	}
+	if _, err := io.WriteString(c.net, s.head(fmt.Sprintf("Content-Length: %d", len(shortBody)))+shortBody); err != nil {
+		return false
+	}
+	s.written = true
+	return c.readAnswer(s)
+}
+
+// head returns the request's line and header.
+func (s *sent) head(framing string) string {
 	h := platform.Headers()
-	text := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: somebody\r\nContent-Length: 4\r\n",
-		s.path, host, h.RequestID, s.id, h.Deadline, (2 * routeTimeout).Milliseconds(), h.Workspace)
+	text := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: somebody\r\n%s\r\n",
+		s.path, host, h.RequestID, s.id, h.Deadline, (2 * routeTimeout).Milliseconds(), h.Workspace, framing)
 	if s.key != "" {
 		text += fmt.Sprintf("%s: Bearer %s\r\n", h.Key, s.key)
 	}
-	text += "\r\nbody"
-	if _, err := io.WriteString(c.net, text); err != nil {
-		return false
-	}
-	s.written = true
+	return text + "\r\n"
+}
+
+// readAnswer reads the answer to the request. It says whether the connection may be used again.
+func (c *conn) readAnswer(s *sent) bool {
 	if _, err := c.reader.Peek(1); err != nil {
 		s.unread, s.why = true, err
 		return false
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -107,6 +107,7 @@
 	o.checkRank()
 	o.checkGone()
 	o.checkCrash()
+	o.checkBodies()
 	r.Breaches = o.found
 	r.Unanswered = o.unanswered
 	r.Flood, r.FloodSent = o.flood, o.floodSent
@@ -137,8 +138,8 @@
 
 // checkAnswer: a success is the whole answer of a target to this request.
 func (o *oracle) checkAnswer(s *sent) {
-	if s.status == http.StatusOK && (s.body != "answer to "+s.id || s.mark != s.id) {
-		o.breach("own answer", "%s: body %q, signature %q", s, s.body, s.mark)
+	if s.status == http.StatusOK && (!isAnswerTo(s.id, s.body) || s.mark != s.id) {
+		o.breach("own answer", "%s: body of %d bytes %.60q, signature %q", s, len(s.body), s.body, s.mark)
 	}
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -74,6 +74,7 @@
 	{"targets ask for rest", askForRest},
 	{"store returns from a copy", returnStore},
 	{"targets send without end", sendWithoutEnd},
+	{"targets answer early", answerEarly},
 }
 
 // plannedWork is what operators do, stops above all.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,16 +60,17 @@
 
 // scenarios are run in CI: what seeds rarely bring about, one fault again and again.
 var scenarios = []struct {
-	fault            string
-	targets, resting int
+	fault                       string
+	targets, resting, uploaders int
 }{
-	{"target hangs", 6, 0},
-	{"service slow", 4, 300},
-	{"targets fail", 24, 0},
-	{"targets name limits", 12, 0},
-	{"targets say they leave", 12, 0},
-	{"targets ask for rest", 12, 0},
-	{"targets send without end", 12, 0},
+	{"target hangs", 6, 0, 0},
+	{"service slow", 4, 300, 0},
+	{"targets fail", 24, 0, 0},
+	{"targets name limits", 12, 0, 0},
+	{"targets say they leave", 12, 0, 0},
+	{"targets ask for rest", 12, 0, 0},
+	{"targets send without end", 12, 0, 0},
+	{"targets answer early", 12, 0, 2},
 }
 
 // TestSoak runs a few seeds, shorter than by hand.
@@ -118,7 +119,7 @@
 		t.Run(s.fault, func(t *testing.T) {
 			t.Parallel()
 			cfg := soak.Usual(1, binary, t.TempDir())
-			cfg.Only, cfg.Resting, cfg.Crashers = []string{s.fault}, s.resting, 0
+			cfg.Only, cfg.Resting, cfg.Uploaders, cfg.Crashers = []string{s.fault}, s.resting, s.uploaders, 0
 			play(t, cfg, s.targets)
 		})
 	}
@@ -136,7 +137,7 @@
 // run plays a short run of few targets, without callers that leave, as when its seed was drawn.
 func run(t *testing.T, cfg soak.Config) {
 	t.Helper()
-	cfg.Leavers, cfg.Crashers = 0, 0
+	cfg.Leavers, cfg.Crashers, cfg.Uploaders = 0, 0, 0
 	play(t, cfg, 6)
 }
 
