TestTargetThatSaysItLeavesGetsNoMore: the word may be on the answer to an earlier request

By its log the fleet was right: all three nodes logged target_left for the target 1 ms apart, and it got no request afterwards. A request that had reached the target up to 5 ms before it began to say that it leaves was answered with the word. The test counts from the first request after that, and demanded that there is one. Now there is one, or the node has logged the target's word; the bound is unchanged.

--- a/node/target_leaving_test.go
+++ b/node/target_leaving_test.go
@@ -58,7 +58,8 @@
 			}
 			is := is.New(t)
 			t.Logf("%d requests later than the bound", late)
-			is.True(!first.IsZero())
+			// The answer to a request that came before may have said it already.
+			is.True(!first.IsZero() || strings.Contains(f.nodes[0].log.String(), "event=target_left"))
 			is.Equal(late, 0)
 		})
 	}
