--- a/node/unread_body_test.go
+++ b/node/unread_body_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tinladder/tinladder/platform"
 	"github.com/tinladder/tinladder/platform/standin"
 )
 
@@ -70,7 +71,7 @@
 	if b.length == 0 {
 		framing, body = chunked, chunk(body)
 	}
-	_, _ = io.WriteString(nc, head(method+" "+path+" HTTP/1.1", "Host: shop", "X-Request-Id: "+id, fmt.Sprint("X-Deadline-Ms: ", deadline), framing)+body)
+	_, _ = io.WriteString(nc, head(method+" "+path+" HTTP/1.1", "Host: shop", "X-Request-Id: "+id, fmt.Sprintf("%s: %d", platform.Headers().Deadline, deadline), framing)+body)
 	_ = nc.SetReadDeadline(time.Now().Add(rawTimeout))
 	return nc, bufio.NewReader(nc)
 }
