--- a/proof/replay_test.go
+++ b/proof/replay_test.go
@@ -362,6 +362,7 @@
 		ask.Exclude = append(ask.Exclude, l.Target)
 		end, out := p.send(ctx, node, k, l, o, r)
 		l.Done(out, false)
+		o.take() // a waiter that got the slot reports at this instant too
 		p.work(node, k, l.MedianTime())
 		at.Tried, at.TimeLeft, at.ServiceTime = len(ask.Exclude), k.Deadline-clock.FromDuration(time.Since(began)), pl.ServiceTime()
 		if out != pool.Unreachable && out != pool.Shed {
