An entry that lacks fields names no target: one that had left got requests again

Cause: missing fields of an entry passed as zero, so an entry of another writer named a target. Ruled out: the tombstone (it is kept, and the new row is newer), the pool's memory (the new life had none).

Beyond the decoder: a target that once named its start always does, its writes do not count back within a life, and a copy of the store cannot bring an earlier life; nodes remember targets that are gone for this (4,096 at most). A refused row is logged once.

--- a/node/records.go
+++ b/node/records.go
@@ -153,9 +153,13 @@
 	return t
 }
 
-// recordRefusal logs and counts a record, or a part of one, that was read from the store and cannot be used.
+// recordRefusal logs and counts a record, or a part of one, that was read from the store and cannot be used. A target's is
+// logged once, however often the store is read.
 func (r *records) recordRefusal(x store.Refusal) {
 	n := r.node
+	if x.Kind == store.Targets && !r.targetCache.refusedFirst(x.Key, x.Version) {
+		return
+	}
 	n.metrics.recordRefused(x.Kind, x.Part == "")
 	n.log.WithFields(logrus.Fields{
 		"event": "record_refused", "kind": x.Kind, "key": x.Key, "part": x.Part, "version": x.Version, "error": x.Err,
@@ -258,6 +262,8 @@
 	version uint64
 	// generation distinguishes starts of the target under the same id, and seq counts its writes within one generation.
 	generation, seq uint64
+	// namesStart says that generation is the time of its start, as it names it.
+	namesStart bool
 }
 
 // newTarget returns the target that registered itself as t in record x.
@@ -266,8 +272,25 @@
 		version: x.Version,
 		id:      ident.Target(x.Key), service: t.GetService(), address: t.GetAddress(), hall: ident.Hall(t.GetHall()),
 		slots: int(t.GetSlots()), leaving: t.GetLeaving(), warmupUntil: x.ReadAt + clock.Millis(t.GetColdMs()),
-		generation: uint64(t.GetBorn()), seq: t.GetSeq(),
+		generation: uint64(t.GetBorn()), seq: t.GetSeq(), namesStart: t.GetBorn() != 0,
+	}
+}
+
+// checkOwn returns an error if the target that was known as was cannot have written t: it named its start before and does
+// not now, its writes count back within one life, or the store has it from a copy older than its present life.
+func (t target) checkOwn(was target) error {
+	sameEra := replica.EraOf(t.version) == replica.EraOf(was.version)
+	switch {
+	case !was.namesStart || t.version == was.version:
+		return nil
+	case !t.namesStart:
+		return errors.New("it does not name its start, and did before")
+	case sameEra && t.generation == was.generation && t.seq < was.seq:
+		return errors.Newf("write %d of the life that has made %d", t.seq, was.seq)
+	case !sameEra && t.generation < was.generation:
+		return errors.Newf("life %d from a copy, before the present one %d", t.generation, was.generation)
 	}
+	return nil
 }
 
 // updateTarget returns the new form of a target that was known as was. If it has restarted under its id, idle connections
--- a/node/target_cache.go
+++ b/node/target_cache.go
@@ -24,12 +24,48 @@
 	shared bool
 	// stale holds the keys of records that changed since they were last decoded.
 	stale map[string]bool
+	// former holds the last form of targets that are gone, by which records of another writer under their ids are known.
+	former map[ident.Target]target
+	// refused holds the versions of the records that were refused last, by key.
+	refusedMu sync.Mutex
+	refused   map[string]uint64
 	// changedServices are the services whose targets changed since takeChangedServices was last called.
 	changedServices map[string]bool
 }
 
 func newTargetCache() targetCache {
-	return targetCache{byID: map[ident.Target]target{}, slots: map[string]int{}, stale: map[string]bool{}, changedServices: map[string]bool{}}
+	return targetCache{
+		byID: map[ident.Target]target{}, slots: map[string]int{}, stale: map[string]bool{}, changedServices: map[string]bool{},
+		former: map[ident.Target]target{}, refused: map[string]uint64{},
+	}
+}
+
+// maxFormer bounds the targets that are remembered after they are gone, and the refused records.
+const maxFormer = 4096
+
+// keepFormer remembers a target that is gone.
+func (d *targetCache) keepFormer(t target) {
+	if !t.namesStart {
+		return
+	}
+	if len(d.former) >= maxFormer {
+		clear(d.former)
+	}
+	d.former[t.id] = t
+}
+
+// refusedFirst reports whether this version of the record is refused for the first time.
+func (d *targetCache) refusedFirst(key string, version uint64) bool {
+	d.refusedMu.Lock()
+	defer d.refusedMu.Unlock()
+	if d.refused[key] == version {
+		return false
+	}
+	if len(d.refused) >= maxFormer {
+		clear(d.refused)
+	}
+	d.refused[key] = version
+	return true
 }
 
 // markStale marks changed records for decoding.
@@ -44,6 +80,9 @@
 // set replaces a target, or removes it if t is nil.
 func (d *targetCache) set(id ident.Target, t *target) {
 	if was, held := d.byID[id]; held {
+		if t == nil {
+			d.keepFormer(was)
+		}
 		d.changedServices[was.service] = true
 		d.addSlots(was.service, -was.slots)
 		delete(d.byID, id)
@@ -96,22 +135,43 @@
 		x, found := r.sets[store.Targets].Get(key)
 		t := decodeRegistration(x)
 		was, held := d.byID[id]
-		switch {
-		case !found || t == nil:
+		if !found || t == nil {
 			if held {
 				d.set(id, nil)
 			}
-		case held:
-			next := r.updateTarget(was, newTarget(x, t))
-			d.set(id, &next)
-		default:
-			next := newTarget(x, t)
-			d.set(id, &next)
+			continue
 		}
+		r.refreshTarget(was, newTarget(x, t), held)
 	}
 	clear(d.stale)
 }
 
+// refreshTarget puts a decoded target in the place of its last form, if it is held. A record that it cannot have written names
+// no target; if it is merely older than what is held, that stays.
+func (r *records) refreshTarget(was, next target, held bool) {
+	d := &r.targetCache
+	last := was
+	if !held {
+		last = d.former[next.id]
+	}
+	if err := next.checkOwn(last); err != nil {
+		r.recordRefusal(store.Refusal{Kind: store.Targets, Key: string(next.id), Version: next.version, Err: err})
+		switch {
+		case held && next.namesStart:
+			was.version = next.version
+			d.set(was.id, &was)
+		case held:
+			d.set(was.id, nil)
+		}
+		return
+	}
+	delete(d.former, next.id)
+	if held {
+		next = r.updateTarget(was, next)
+	}
+	d.set(next.id, &next)
+}
+
 // targets returns all registered targets sorted by id. The caller must not modify the list.
 func (r *records) targets() []target {
 	d := &r.targetCache
