A request is the same in any framing: one that crashes targets went on under its other one

Cause: the fingerprint covered the length that the request names, which is -1 for a body in chunks, so one request had two sets of fingerprints, each counted, held back and tried on its own. Ruled out: word between nodes (each print's crashes are known to all).

A body that is held whole stands for itself; its length adds nothing. A longer one stands for its first 4 KB, and for its length, if it names one, in the narrowest of the three scopes only: the wider two are the same in both framings, and the narrowest is not cleared by good answers to other requests that begin alike.

--- a/node/fingerprint.go
+++ b/node/fingerprint.go
@@ -17,12 +17,12 @@
 // fingerprints returns the request's fingerprints. Its body must have been read.
 func (x *exchange) fingerprints() *quarantine.Fingerprints {
 	x.fingerprinted.once.Do(func() {
-		body := x.body
-		if x.stream != nil {
+		body, isLong := x.body, x.stream != nil
+		if isLong {
 			body = x.head
 		}
 		x.fingerprinted.value = quarantine.FingerprintsOf(&quarantine.Request{
-			Caller: callerAddress(x.r), Workspace: x.owner, Method: x.r.Method, Target: x.r.RequestURI, Body: body, Length: x.r.ContentLength,
+			Caller: callerAddress(x.r), Workspace: x.owner, Method: x.r.Method, Target: x.r.RequestURI, Body: body, IsLong: isLong, Length: x.r.ContentLength,
 			Host: x.route.Host, // not the request's: under a node's own host name it differs from node to node
 		})
 	})
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -37,7 +37,9 @@
 }
 
 // A Scope is the part of a request that a fingerprint covers. The cause of a crash may be tied to one caller, or independent
-// of the caller, or also of the query. A request has a fingerprint of each scope, and each is tracked separately.
+// of the caller, or also of the query. A request has a fingerprint of each scope, and each is tracked separately. Only the
+// narrowest covers the length of a long body: the wider ones are the same whether the body tells its length or not, the
+// narrowest is not cleared by answers to other requests that begin alike.
 type Scope int
 
 // Scopes, each wider than the one before.
@@ -64,8 +66,10 @@
 	Caller, Workspace string
 	// Target is the path and query.
 	Method, Host, Target string
-	// Body is the body, or the first part of a large one. Length is the length of the whole body, or -1 if unknown.
-	Body   []byte
+	// Body is the whole body, however it was framed, or the first part of a long one.
+	Body []byte
+	// IsLong says that the body is longer than Body, and Length how long it is, or -1: a body in chunks does not tell.
+	IsLong bool
 	Length int64
 }
 
@@ -86,6 +90,12 @@
 	return fps
 }
 
+// wholeBody and longBody stand in the hashed text for a length that the fingerprint does not cover.
+const (
+	wholeBody = -2
+	longBody  = -3
+)
+
 func (r *Request) fingerprint(s Scope, caller, target string, body *[sha256.Size]byte) (fp Fingerprint) {
 	var buf [textBufferBytes]byte
 	text := append(buf[:0], byte(s))
@@ -93,7 +103,14 @@
 		text = binary.LittleEndian.AppendUint32(text, uint32(len(field)))
 		text = append(text, field...)
 	}
-	text = binary.LittleEndian.AppendUint64(text, uint64(r.Length))
+	length := int64(wholeBody)
+	if r.IsLong {
+		length = longBody
+		if s == ScopeCaller {
+			length = r.Length
+		}
+	}
+	text = binary.LittleEndian.AppendUint64(text, uint64(length))
 	sum := sha256.Sum256(append(text, body[:]...))
 	copy(fp[:], sum[:])
 	return fp
