A crash after the attempt's end counts: a request went on to crash targets once its caller had left

Cause: a crash was looked for only at the end of an attempt that had lost its connection. One whose caller has left, or whose time is over, ends before; the target runs it on. Ruled out: fingerprints (one caller, one framing).

An attempt that lost its race is not watched. Targets known to leave are not blamed, as before.

--- a/node/crash_kinds_test.go
+++ b/node/crash_kinds_test.go
@@ -127,6 +127,41 @@
 	}
 }
 
+// TestRequestsThatCrashTargetsAfterTheirCallersLeft guards against a request that crashes targets and is sent on for as long as it
+// comes, since its caller leaves, or its time runs out, before each crash.
+func TestRequestsThatCrashTargetsAfterTheirCallersLeft(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		// leaves is when the caller leaves, and deadline for how long it would wait, in milliseconds.
+		leaves   time.Duration
+		deadline int
+	}{
+		{"caller leaves", crashPath, 40 * time.Millisecond, 3000},
+		{"deadline", crashPath, time.Second, 80},
+		{"deadline of a request that runs once", "/once/crash", time.Second, 80},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(t, 3)
+			f.calm(1)
+			b := newTargetsCrashingOn(f, 9, c.path)
+			for _, target := range b.list {
+				target.SetFaults(standin.TargetFaults{Slow: 30}) // 150 ms
+			}
+			f.ready(1, len(b.list))
+			f.insist(func(i int, n *testNode) *http.Request {
+				ctx, cancel := context.WithTimeout(context.Background(), c.leaves)
+				t.Cleanup(cancel)
+				return f.request(n, http.MethodPost, c.path, fmt.Sprint("leaves-", i), "order 17", c.deadline).WithContext(ctx)
+			}, 500*time.Millisecond, 9*time.Second)
+			t.Logf("%d sends, %d crashes, %d late", len(b.sent(c.path)), len(b.crashes), b.late(c.path))
+			is.True(len(b.crashes) >= 3)
+			is.True(b.late(c.path) <= maxLateSends)
+		})
+	}
+}
+
 // TestNodeThatStartsLaterHoldsBackToo starts a node after the others hold a request back.
 func TestNodeThatStartsLaterHoldsBackToo(t *testing.T) {
 	is := is.New(t)
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -237,6 +237,9 @@
 	if e.outcome == pool.ConnectionLost {
 		e.probe = x.probeAfterLoss(ctx, t.lease)
 	}
+	if mayStillRun(e) {
+		x.node.crashes.add(x, t.lease)
+	}
 	if e.outcome == pool.Good && a.Rest == nil {
 		x.node.suspects.recordSuccess(x)
 	}
--- a/node/held_requests.go
+++ b/node/held_requests.go
@@ -14,7 +14,7 @@
 func (x *exchange) probeAfterLoss(ctx context.Context, l *pool.Lease) forward.ProbeResult {
 	result := x.node.conns.Probe(ctx, l.Address)
 	if result == forward.Refused && !l.Leaving() {
-		x.node.suspects.recordCrash(x, l.Target, l.Start())
+		x.node.suspects.recordCrash(x.crashCandidate(l))
 	}
 	return result
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -177,6 +177,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_records_refused_total{kind=%q,whole="%v"}`, k, whole)).Inc()
 }
 
+// unwatched counts an attempt that ended before its target responded and for which there was no room to watch the target.
+func (m *nodeMetrics) unwatched() {
+	m.set.GetOrCreateCounter("tinladder_attempts_unwatched_total").Inc()
+}
+
 func (m *nodeMetrics) attempt(o pool.Outcome, took clock.Millis) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`tinladder_attempts_total{outcome=%q}`, o)).Inc()
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`tinladder_attempt_seconds{outcome=%q}`, o)).Update(took.Duration().Seconds())
--- a/node/node.go
+++ b/node/node.go
@@ -105,6 +105,7 @@
 	memberLog    *memberLog
 	traffic      *traffic
 	suspects     *suspects
+	crashes      *crashWatch
 
 	doors []*door.Server
 	done  chan struct{}
@@ -155,6 +156,7 @@
 	n.members.AddSeeds(s.Fleet.Seeds)
 	n.ledger = once.NewLedger(n.self, once.DefaultLimits, n.clock, newRand())
 	n.suspects = newSuspects(n)
+	n.crashes = newCrashWatch(n)
 	n.records = newRecords(n)
 	n.source = n.platform.Source(n.records.recordRefusal)
 	n.services = newServices(n)
@@ -287,6 +289,7 @@
 		startPeriodic(ctx, tickInterval, n.tick),
 		startPeriodic(ctx, purgeInterval, func(context.Context) { n.conns.CloseExpired() }),
 		startTask(ctx, n.suspects.writeDirty),
+		startPeriodic(ctx, tickInterval, n.crashes.tick),
 	}
 	for _, k := range n.watchedKinds() {
 		tasks = append(tasks, startTask(ctx, func(ctx context.Context) { n.duty.watch(ctx, k) }))
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/tinladder/tinladder/clock"
 	"github.com/tinladder/tinladder/ident"
+	"github.com/tinladder/tinladder/pool"
 	"github.com/tinladder/tinladder/quarantine"
 	tlv1 "github.com/tinladder/tinladder/schema/tinladder/v1"
 	"github.com/tinladder/tinladder/store"
@@ -64,13 +65,27 @@
 	}
 }
 
-// recordCrash records that the target's process ended while it ran the request, which was sent to it at sentAt.
-func (s *suspects) recordCrash(x *exchange, target ident.Target, sentAt clock.Millis) {
+// A crashCandidate is a request that a target may have crashed under.
+type crashCandidate struct {
+	prints      quarantine.Fingerprints
+	service     *service
+	description string
+	target      ident.Target
+	sentAt      clock.Millis
+}
+
+// crashCandidate returns the request, as sent with the lease.
+func (x *exchange) crashCandidate(l *pool.Lease) crashCandidate {
+	return crashCandidate{prints: *x.fingerprints(), service: x.service, description: describe(x.r), target: l.Target, sentAt: l.Start()}
+}
+
+// recordCrash records that the target's process ended while it ran the request.
+func (s *suspects) recordCrash(r crashCandidate) {
 	var updates []quarantine.Suspect
-	for b, p := range x.fingerprints() {
+	for b, p := range r.prints {
 		c := quarantine.Suspect{
-			Fingerprint: p, Scope: quarantine.Scope(b), Service: x.service.name, Description: describe(x.r),
-			Crashes: []quarantine.Crash{{Target: target, SentAt: sentAt, At: s.node.clock.Now()}},
+			Fingerprint: p, Scope: quarantine.Scope(b), Service: r.service.name, Description: r.description,
+			Crashes: []quarantine.Crash{{Target: r.target, SentAt: r.sentAt, At: s.node.clock.Now()}},
 		}
 		change := s.list.AddCrashes(c)
 		if change == quarantine.Unchanged {
@@ -82,7 +97,7 @@
 			s.markDirty(p)
 		}
 	}
-	s.broadcast(x.service, updates)
+	s.broadcast(r.service, updates)
 }
 
 // audience returns the nodes to inform of a request: users of the service after one crash, which may be chance, and all nodes
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -90,6 +90,13 @@
 	return l.start
 }
 
+// RespondedSince reports whether this node has had a good response of the target at the time or later.
+func (l *Lease) RespondedSince(at clock.Millis) bool {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	return l.pool.sameLife(l.target).okAt >= at
+}
+
 // Leaving reports whether the target is known to be leaving, or to be gone: its process may end at any moment.
 func (l *Lease) Leaving() bool {
 	l.pool.mu.Lock()
