--- a/node/request_id_test.go
+++ b/node/request_id_test.go
@@ -23,5 +23,8 @@
 		seen := target.Seen()
 		is.Equal(seen[len(seen)-1].ID, id)
 	}
-	is.True(strings.Contains(f.nodes[0].log.String(), `request="event=x level=error"`)) // one value of the line
+	f.eventually("the id is one value of a line of the log", func() bool {
+		f.call(f.nodes[0], http.MethodGet, "/get/", "event=x level=error", "")
+		return strings.Contains(f.nodes[0].log.String(), `request="event=x level=error"`)
+	})
 }
