--- a/node/crash_watch.go
+++ b/node/crash_watch.go
@@ -49,6 +49,7 @@
 
 // add watches the attempt, if there is room.
 func (w *crashWatch) add(x *exchange, l *pool.Lease) {
+	a := watchedAttempt{candidate: x.crashCandidate(l), lease: l}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	watched := 0
@@ -59,7 +60,8 @@
 		w.node.metrics.unwatched()
 		return
 	}
-	w.queues[0] = append(w.queues[0], watchedAttempt{candidate: x.crashCandidate(l), lease: l, endedAt: w.node.clock.Now()})
+	a.endedAt = w.node.clock.Now()
+	w.queues[0] = append(w.queues[0], a)
 }
 
 // tick looks at the targets of the attempts whose next step is due.
@@ -110,6 +112,7 @@
 				w.queues[i+1] = append(w.queues[i+1], a)
 			}
 		}
+		clear(q[:n])
 		if w.queues[i] = q[n:]; len(w.queues[i]) == 0 {
 			w.queues[i] = nil
 		}
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -102,7 +102,7 @@
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	t := l.target
-	return t.removed || t.Leaving || t.announcedLeave || t.closing.isHeld(l.pool.clock.Now())
+	return t.removed || t.Leaving || t.announcedLeave || t.closing.isPresumedLeaving(l.pool.clock.Now())
 }
 
 // Done records how the attempt ended. Only the first call counts. closing says that the target closes the
--- a/pool/status.go
+++ b/pool/status.go
@@ -50,7 +50,7 @@
 	for i, t := range p.order {
 		s := Status{Target: t.ID, InFlight: p.inFlight(t, now), Failing: t.belief.FailingProb(&p.tuning.Model, now), Slower: t.speed.factor, SpeedSamples: t.speed.samples, Slow: t.speed.slow}
 		switch {
-		case t.Leaving || t.announcedLeave || t.closing.isHeld(now):
+		case t.Leaving || t.announcedLeave || t.closing.isPresumedLeaving(now):
 			s.Condition = Leaving
 		case t.resting(now):
 			s.Condition = Resting
--- a/pool/throttled.go
+++ b/pool/throttled.go
@@ -52,7 +52,7 @@
 // closed reports whether the target may get nothing from this node, however long a request waits. Requests do not wait for
 // the end of a rest, which takes seconds.
 func (p *Pool) closed(t *target, now clock.Millis) bool {
-	return t.Evacuated || t.resting(now) || t.closing.isHeld(now) || t.warmingUp(now) && t.WarmupRate <= 0 || p.limitCloses(t, now)
+	return t.Evacuated || t.resting(now) || t.closing.isPresumedLeaving(now) || t.warmingUp(now) && t.WarmupRate <= 0 || p.limitCloses(t, now)
 }
 
 // admits reports whether the target may get a request from this node now.
