--- a/soak/callers.go
+++ b/soak/callers.go
@@ -35,6 +35,8 @@
 	once     bool
 	// content is a long body; empty if the request has the short one.
 	content string
+	// chunked says that the short body goes out in chunks.
+	chunked bool
 	// patience is how long its caller waits, if not for long.
 	patience time.Duration
 	node     *process
@@ -187,7 +189,11 @@
 	if s.patience > 0 {
 		_ = c.net.SetDeadline(s.at.Add(s.patience))
 	}
-	if _, err := io.WriteString(c.net, s.head(fmt.Sprintf("Content-Length: %d", len(shortBody)))+shortBody); err != nil {
+	text := s.head(fmt.Sprintf("Content-Length: %d", len(shortBody))) + shortBody
+	if s.chunked {
+		text = s.head("Transfer-Encoding: chunked") + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(shortBody), shortBody)
+	}
+	if _, err := io.WriteString(c.net, text); err != nil {
 		return false
 	}
 	s.written = true
--- a/soak/crashers.go
+++ b/soak/crashers.go
@@ -17,6 +17,8 @@
 	// until it takes another one.
 	crashEvery = 200 * time.Millisecond
 	crashesFor = 8 * time.Second
+	// crashPatience is how long a caller of such a request waits that leaves before the crash.
+	crashPatience = 5 * time.Millisecond
 	// enoughCrashes hold such a request back, and lateSends is how often it may be sent later than contact after that.
 	enoughCrashes = 3
 	lateSends     = 3
@@ -38,6 +40,12 @@
 		}
 		which := int(time.Since(began) / crashesFor)
 		s := &sent{id: fmt.Sprintf("c%d-%d", place, i), path: fmt.Sprintf("%s%d-%d/", crashPrefix, place, which), space: shops, key: c.world.key(), stray: true}
+		if c.world.cfg.CrashForms {
+			s.chunked = i%2 == 1
+			if (place+which)%2 == 1 {
+				s.patience = crashPatience
+			}
+		}
 		conn.send(s)
 		conn.close()
 		c.oracle.add(s)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -76,6 +76,7 @@
 	{"targets send without end", sendWithoutEnd},
 	{"targets answer early", answerEarly},
 	{"targets end connections", endConnections},
+	{"others write entries", forgeEntries},
 }
 
 // plannedWork is what operators do, stops above all.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -49,6 +49,8 @@
 	Leavers int
 	// Crashers are callers that send requests again and again that crash each target that runs them.
 	Crashers int
+	// CrashForms has these requests come in chunks and with a length by turns, and the callers of some leave at once.
+	CrashForms bool
 	// Uploaders are callers that send long bodies.
 	Uploaders int
 	// Only names the faults that may happen, if not all may.
@@ -62,7 +64,7 @@
 // Usual is a run of the usual size: a few processes, about 20 s.
 func Usual(seed uint64, binary, dir string) Config {
 	return Config{
-		Seed: seed, Nodes: 6, Targets: 10, Rate: 80, Leavers: 2, Crashers: 1, Uploaders: 2, Faults: 12 * time.Second, Calm: 5 * time.Second, Binary: binary, Dir: dir,
+		Seed: seed, Nodes: 6, Targets: 10, Rate: 80, Leavers: 2, Crashers: 1, CrashForms: true, Uploaders: 2, Faults: 12 * time.Second, Calm: 5 * time.Second, Binary: binary, Dir: dir,
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -62,16 +62,20 @@
 var scenarios = []struct {
 	fault                       string
 	targets, resting, uploaders int
+	// crashers send requests that crash targets, in all forms.
+	crashers int
 }{
-	{"target hangs", 6, 0, 0},
-	{"service slow", 4, 300, 0},
-	{"targets fail", 24, 0, 0},
-	{"targets name limits", 12, 0, 0},
-	{"targets say they leave", 12, 0, 0},
-	{"targets ask for rest", 12, 0, 0},
-	{"targets send without end", 12, 0, 0},
-	{"targets answer early", 12, 0, 2},
-	{"targets end connections", 12, 0, 0},
+	{"target hangs", 6, 0, 0, 0},
+	{"service slow", 4, 300, 0, 0},
+	{"targets fail", 24, 0, 0, 0},
+	{"targets name limits", 12, 0, 0, 0},
+	{"targets say they leave", 12, 0, 0, 0},
+	{"targets ask for rest", 12, 0, 0, 0},
+	{"targets send without end", 12, 0, 0, 0},
+	{"targets answer early", 12, 0, 2, 0},
+	{"targets end connections", 12, 0, 0, 0},
+	{"others write entries", 12, 0, 0, 0},
+	{"reload", 16, 0, 0, 2},
 }
 
 // TestSoak runs a few seeds, shorter than by hand.
@@ -90,7 +94,7 @@
 		t.Run(fmt.Sprint("crash ", s.seed), func(t *testing.T) {
 			t.Parallel()
 			cfg := soak.Usual(s.seed, binary, t.TempDir())
-			cfg.Crashers, cfg.Uploaders = 2, 0
+			cfg.Crashers, cfg.CrashForms, cfg.Uploaders = 2, false, 0
 			play(t, cfg, 12)
 		})
 	}
@@ -107,6 +111,7 @@
 			t.Parallel()
 			cfg := soak.Usual(s.seed, binary, t.TempDir())
 			cfg.Only, cfg.Uploaders = []string{"targets name limits", "freeze", "kill", "cut one way", "terminate"}, 0
+			cfg.CrashForms = false // as when its seed was drawn
 			judge(t, cfg)
 		})
 	}
@@ -122,7 +127,7 @@
 		t.Run(s.fault, func(t *testing.T) {
 			t.Parallel()
 			cfg := soak.Usual(1, binary, t.TempDir())
-			cfg.Only, cfg.Resting, cfg.Uploaders, cfg.Crashers = []string{s.fault}, s.resting, s.uploaders, 0
+			cfg.Only, cfg.Resting, cfg.Uploaders, cfg.Crashers = []string{s.fault}, s.resting, s.uploaders, s.crashers
 			play(t, cfg, s.targets)
 		})
 	}
