--- a/soak/crashers.go
+++ b/soak/crashers.go
@@ -47,6 +47,9 @@
 			}
 		}
 		conn.send(s)
+		if s.patience > 0 && s.status == 0 && s.end.Sub(s.at) >= s.patience {
+			s.left = s.end
+		}
 		conn.close()
 		c.oracle.add(s)
 	}
