Show a tenant's limit that two sides of a fleet hold whole

A machine that is added while the seeds in its settings are stale finds no other machine, and after a minute holds each limit by itself. Fixed nothing.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/tinladder-node ] && [ -x target/review-bed-2 ] || { echo "build first: the deploy file's build and review/build-2.sh"; exit 2; }
-RECORD="review/5/record.txt" exec target/review-bed-2 crash-anywhere
+RECORD="review/5/record.txt" exec target/review-bed-2 stale-seeds
--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -56,6 +56,8 @@
 type figures struct {
 	apply, grace, drain, ttl string
 	budgetSlack              int
+	// tenants adds the bounds of deployments with tenants.
+	tenants bool
 }
 
 // smallSite are the bounds of the deployments of 44 machines.
@@ -134,38 +136,54 @@
 	return "", fmt.Errorf("no free port")
 }
 
-// addNodes gives each zone so many nodes and starts them all.
+// addNodes gives each zone so many nodes and starts them all. The seeds are the first three.
 func (b *bed) addNodes(f figures, zones []string, perZone int) error {
+	var added []*member
 	for _, zone := range zones {
 		for i := range perZone {
-			m := &member{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone}
-			for _, place := range []*string{&m.callers, &m.ready, &m.directory, &m.peers, &m.own} {
-				address, err := b.freeAddress()
-				if err != nil {
-					return err
-				}
-				*place = address
+			m, err := b.newMember(fmt.Sprintf("front-%s-%d", zone, i+1), zone)
+			if err != nil {
+				return err
 			}
-			m.settings = filepath.Join(b.dir, m.name+".toml")
-			m.log = filepath.Join(b.dir, m.name+".log")
-			b.nodes = append(b.nodes, m)
+			added = append(added, m)
 		}
 	}
 	var seeds []string
-	for _, m := range b.nodes[:min(3, len(b.nodes))] {
+	for _, m := range added[:min(3, len(added))] {
 		seeds = append(seeds, m.peers)
 	}
-	for _, m := range b.nodes {
-		if err := os.WriteFile(m.settings, []byte(b.settingsOf(m, f, zones, seeds)), 0o600); err != nil {
-			return err
-		}
-		if err := b.start(m); err != nil {
+	for _, m := range added {
+		if err := b.startWith(m, f, zones, seeds); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// newMember chooses the addresses of one more node.
+func (b *bed) newMember(name, zone string) (*member, error) {
+	m := &member{name: name, zone: zone}
+	for _, place := range []*string{&m.callers, &m.ready, &m.directory, &m.peers, &m.own} {
+		address, err := b.freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		*place = address
+	}
+	m.settings = filepath.Join(b.dir, m.name+".toml")
+	m.log = filepath.Join(b.dir, m.name+".log")
+	b.nodes = append(b.nodes, m)
+	return m, nil
+}
+
+// startWith lays the node's settings and starts it.
+func (b *bed) startWith(m *member, f figures, zones, seeds []string) error {
+	if err := os.WriteFile(m.settings, []byte(b.settingsOf(m, f, zones, seeds)), 0o600); err != nil {
+		return err
+	}
+	return b.start(m)
+}
+
 // settingsOf fills deploy/node.toml.template for a node.
 func (b *bed) settingsOf(m *member, f figures, zones, seeds []string) string {
 	list, _ := json.Marshal(seeds)
@@ -173,6 +191,10 @@
 	for _, z := range zones {
 		halls += fmt.Sprintf("%q = %q\n", z, region)
 	}
+	tenants := ""
+	if f.tenants {
+		tenants = "revoke = \"5000ms\"\n\n[workspaces]\nwindow = \"5s\"\novershoot = 0.1\nslack = 20\n"
+	}
 	return fmt.Sprintf(`[node]
 name = %q
 hall = %q
@@ -194,7 +216,7 @@
 grace = %q
 leave = %q
 valid = %q
-
+%s
 [retries]
 ratio = 0.2
 slack = %d
@@ -209,7 +231,7 @@
 [balance]
 retry_order = true
 limit_order = true
-`, m.name, m.zone, region, m.callers, m.ready, m.peers, m.directory, m.own, b.address, list, f.apply, f.grace, f.drain, f.ttl, f.budgetSlack, halls)
+`, m.name, m.zone, region, m.callers, m.ready, m.peers, m.directory, m.own, b.address, list, f.apply, f.grace, f.drain, f.ttl, tenants, f.budgetSlack, halls)
 }
 
 // start starts the node's process as the deploy file does.
--- a/review/bed2/requester.go
+++ b/review/bed2/requester.go
@@ -17,6 +17,8 @@
 	limit              time.Duration
 	// leaveAfter is when the requester closes its connection; 0 if it waits.
 	leaveAfter time.Duration
+	// key is the requester's; empty if the route asks for none.
+	key string
 }
 
 // An outcome is how a call ended.
@@ -59,6 +61,9 @@
 	}
 	_ = nc.SetDeadline(time.Now().Add(wait))
 	header := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", c.method, c.path, host, o.id, c.limit.Milliseconds())
+	if c.key != "" {
+		header += "Authorization: Bearer " + c.key + "\r\n"
+	}
 	if c.method != http.MethodGet {
 		header += fmt.Sprintf("Content-Length: %d\r\n", len(c.body))
 	}
