Late requests are refused however long the grace period is: they were cut off at its end

Cause: a request of any limit was accepted for 48% of the grace period. The rule that excuses one cut off at the end names an absolute time, 3 s after the signal; 48% of 6 s is within it, 48% of 10 s is not. Ruled out: limits that end before (10 and 15 s), the order in which connections close (each request got its 502).

Such requests are accepted for 2.88 s at most now: 3 s less a late signal and the way to the node. Grace periods up to 6 s behave as before. Callers, the own interface and requests passed on by nodes share the check.

--- a/leave/leave.go
+++ b/leave/leave.go
@@ -13,8 +13,8 @@
 	// acceptShare is until when connections are accepted: callers may keep an address that long before they
 	// resolve it again.
 	acceptShare = 45
-	// requestShare is until when requests are accepted that may run beyond the end and be cut off. Most finish
-	// long before their limit.
+	// requestShare is until when requests are accepted that may run beyond the end and be cut off, but no longer than
+	// requestTime. Most finish long before their limit.
 	requestShare = 48
 	// idleShare is until when idle connections stay open: a caller may send a request on one as it is closed.
 	idleShare = 84
@@ -26,6 +26,12 @@
 )
 
 const (
+	// requestTime is the same, however long the grace period is: callers are told within cutTolerance that the node
+	// leaves, and accept that a request is cut off only until then. signalMargin of it covers a signal that arrives
+	// late, and the request's way to the node.
+	requestTime               = cutTolerance - signalMargin
+	cutTolerance              = 3 * clock.Second
+	signalMargin clock.Millis = 120
 	// responseMargin is how long a response takes to leave the node after a request's time limit.
 	responseMargin clock.Millis = 50
 	// minEndMargin is the least time between the end and the end of the grace period, and minResponseMargin the
@@ -86,7 +92,7 @@
 // Accepts reports whether to accept a request that may run for limit: early on any, later only one whose limit and
 // response end before the node responds to pending requests.
 func (p Plan) Accepts(elapsed, limit clock.Millis) bool {
-	return elapsed < p.share(requestShare) || elapsed+limit+responseMargin <= p.respondAt()
+	return elapsed < min(p.share(requestShare), requestTime) || elapsed+limit+responseMargin <= p.respondAt()
 }
 
 // endAt is when the node ends, and respondAt when it responds to pending requests.
--- a/leave/leave_test.go
+++ b/leave/leave_test.go
@@ -58,13 +58,14 @@
 	}
 }
 
-// TestAcceptedRequestsEndInTime checks that each request accepted after half of the grace period ends before the
-// node responds to pending requests, for any grace period and limit.
+// TestAcceptedRequestsEndInTime checks that each request accepted after half of the grace period, or 3 s, ends before the
+// node responds to pending requests, for any grace period and limit: with a long one, requests were accepted and cut off
+// that callers had sent when they could have known that the node leaves.
 func TestAcceptedRequestsEndInTime(t *testing.T) {
 	is := is.New(t)
-	for _, grace := range []clock.Millis{500, 2000, 4000, 6000, 30_000} {
+	for _, grace := range []clock.Millis{500, 2000, 4000, 6000, 8000, 10_000, 30_000, 60_000} {
 		p := leave.Plan{Grace: grace}
-		for elapsed := grace / 2; elapsed <= grace; elapsed += grace / 200 {
+		for elapsed := min(grace/2, 3*clock.Second); elapsed <= grace; elapsed += grace / 200 {
 			for limit := clock.Millis(0); limit < grace; limit += grace / 100 {
 				if p.Accepts(elapsed, limit) {
 					is.True(p.Next(elapsed+limit, leave.Conns{Callers: 1, All: 1}) < leave.RespondPending)
