Crashes that different nodes see are added up: a request went on to crash targets at each node

Cause: a first crash is told to the carriers and recent users of the service. Nodes that do not carry it do not hear each other, so each saw a first crash. The carriers had all reports (request_held by=peer in their logs) and neither told anybody nor wrote to the store. Ruled out: lost datagrams, differing fingerprints.

Three collectors of each fingerprint, chosen by rank among all nodes, get every report, and tell all nodes and the store what nobody had told. A node that hears under two in five of the others writes a first crash to the store. A row that was read is written again only by a node that knows more (the model of small groups had writers overtake each other: 10 to 30 crashes, 3 or 4 now).

--- a/node/suspect_rows.go
+++ b/node/suspect_rows.go
@@ -42,8 +42,8 @@
 				continue
 			}
 			s.logChange(change, p, from)
-			if change == quarantine.Quarantined {
-				s.markDirty(p) // the store lacks this node's own reports
+			if s.list.KnowsMore(p, row) {
+				s.markDirty(p)
 			}
 		}
 	}
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -19,8 +19,9 @@
 const maxDescriptionBytes = 160
 
 // suspects quarantines requests that crash the targets that run them. Each crash report goes to other nodes by datagram at
-// once, which reaches nodes that the store refuses. Reports of repeated crashes also go to the store, which reaches nodes
-// that have no contact with the others or start later.
+// once, which reaches nodes that the store refuses: to those that use the service, and to the request's collectors, which add
+// up what different nodes report. Reports of repeated crashes go to all nodes, and to the store, which reaches nodes that have
+// no contact with the others or start later.
 type suspects struct {
 	node  *Node
 	list  *quarantine.List
@@ -93,34 +94,44 @@
 		}
 		c = s.logChange(change, p, "seen")
 		updates = append(updates, c)
-		if c.Recurring() || len(s.node.members.Live()) == 0 {
+		if c.Recurring() || s.hearsFew() {
 			s.markDirty(p)
 		}
 	}
 	s.broadcast(r.service, updates)
 }
 
-// audience returns the nodes to inform of a request: users of the service after one crash, which may be chance, and all nodes
-// after more.
-func (s *suspects) audience(svc *service, wide bool) []*tlv1.Member {
+// hearsFew reports whether this node is in contact with so few others that their sum of crashes may be too low.
+func (s *suspects) hearsFew() bool {
+	return len(s.node.members.Live()) == 0 || !s.node.quotas.hasEnoughPeers.Load()
+}
+
+// audience returns the nodes to inform of a request: after one crash, which may be chance, users of the service and the
+// collectors of its fingerprints, and all nodes after more.
+func (s *suspects) audience(svc *service, prints []quarantine.Fingerprint, wide bool) []*tlv1.Member {
 	if wide {
 		return s.node.members.Live()
 	}
-	return s.node.services.withUsers(svc, s.node.carriers.all(svc.name))
+	return s.withCollectors(s.node.services.withUsers(svc, s.node.carriers.all(svc.name)), prints)
 }
 
 // broadcast sends what is known of a request, by each of its fingerprints, to other nodes.
 func (s *suspects) broadcast(svc *service, updates []quarantine.Suspect) {
 	m := &tlv1.Suspects{}
+	var prints []quarantine.Fingerprint
 	wide := false
 	for i, c := range updates {
 		wide = wide || c.Recurring()
+		if c.Recurring() {
+			s.list.MarkAnnounced(c.Fingerprint, len(c.Crashes))
+		}
 		if i > 0 {
 			c.Service, c.Description = "", ""
 		}
+		prints = append(prints, c.Fingerprint)
 		m.Suspects = append(m.Suspects, quarantine.ToWire(c, s.node.clock.Now()))
 	}
-	s.send(m, s.audience(svc, wide))
+	s.send(m, s.audience(svc, prints, wide))
 }
 
 // describe names a request for operators, without its query, which may be confidential.
@@ -135,14 +146,18 @@
 		return
 	}
 	m := &tlv1.Suspects{}
+	var prints []quarantine.Fingerprint
 	wide := false
 	for _, p := range x.fingerprints() {
 		if was, found := s.clearReports(p, "answer"); found {
 			m.Suspects = append(m.Suspects, &tlv1.Suspect{Print: p[:], Cleared: true})
+			prints = append(prints, p)
 			wide = wide || was.Recurring()
 		}
 	}
-	s.send(m, s.audience(x.service, wide))
+	if len(prints) > 0 {
+		s.send(m, s.audience(x.service, prints, wide))
+	}
 }
 
 // clearReports removes the crash reports of the request from this node and schedules their removal from the store. It reports
@@ -197,8 +212,15 @@
 		}
 		first := m.GetSuspects()[0]
 		c.Service, c.Description = first.GetService(), first.GetWhat()
-		if change := s.list.AddCrashes(c); change != quarantine.Unchanged {
-			s.logChange(change, c.Fingerprint, "peer")
+		change := s.list.AddCrashes(c)
+		if c.Recurring() { // its sender told all nodes
+			s.list.MarkAnnounced(c.Fingerprint, len(c.Crashes))
+		}
+		if change == quarantine.Unchanged {
+			continue
+		}
+		if sum := s.logChange(change, c.Fingerprint, "peer"); sum.Recurring() {
+			s.announceSum(c.Fingerprint)
 		}
 	}
 }
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -126,7 +126,8 @@
 		for key, r := range f.rows {
 			if n.seen[key] < r.version && now-r.at >= storeDelay {
 				n.seen[key] = r.version
-				if n.list.MergeRow(key, r.row)[testFingerprint] == quarantine.Quarantined {
+				n.list.MergeRow(key, r.row)
+				if n.list.KnowsMore(testFingerprint, r.row) {
 					n.list.MarkDirty(testFingerprint)
 				}
 			}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -147,6 +147,8 @@
 	Suspect
 	// since is when this node last learned of a crash or a trial.
 	since clock.Millis
+	// announced is the number of crashes that all nodes were told of.
+	announced int
 	// clearedAt is when the request was last cleared, or 0.
 	clearedAt clock.Millis
 	// copiedUntil is until when a row that lists the request, although it was cleared, may come from a copy of the store; or 0.
@@ -312,7 +314,7 @@
 }
 
 func (e *entry) clear(now clock.Millis) {
-	e.Crashes, e.Trials, e.since, e.clearedAt = nil, 0, now, now
+	e.Crashes, e.Trials, e.announced, e.since, e.clearedAt = nil, 0, 0, now, now
 }
 
 // Get returns what is known of the request, and when this node last learned of a crash or a trial.
--- a/quarantine/rows.go
+++ b/quarantine/rows.go
@@ -126,6 +126,22 @@
 	return changes
 }
 
+// KnowsMore reports whether this node knows of recurring crashes of the request that the row lacks.
+func (l *List) KnowsMore(fp Fingerprint, row *tlv1.Suspects) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[fp]
+	if e == nil || !e.Recurring() {
+		return false
+	}
+	for _, s := range row.GetSuspects() {
+		if string(s.GetPrint()) == string(fp[:]) {
+			return len(e.Crashes) > len(s.GetCrashes())
+		}
+	}
+	return true
+}
+
 // clearPending reports whether the request was cleared here, and the store does not have that yet.
 func (l *List) clearPending(c Suspect) bool {
 	l.mu.Lock()
