Heads that HTTP forbids are no answers: what came after a status 000 was passed on as the answer

Cause: net/http reads any three digits as a status, names with blanks and versions such as 2.0; all below 200 was skipped as informational, a 101 too. Evidence: 24 heads and trailers played at ConnPool.Send, 10 of them passed before (000, 099, 101, 600, 999, version 2.0, blanks in a name of a final head, an informational one, a trailer). A control byte in a name or value, a second length and the like were refused before, and are in the test.

Each head, informational or final, and each trailer is checked (forward/head.go).

Red before: TestInvalidHeadsAreNoResponses (10 of 24).

--- a/forward/send.go
+++ b/forward/send.go
@@ -206,6 +206,9 @@
 			return nil, errors.Wrap(err, "read response")
 		}
 		x.conn.limit.N = math.MaxInt64
+		if err := checkHead(res); err != nil {
+			return nil, err
+		}
 		if res.StatusCode >= http.StatusOK {
 			x.wrapBody(res)
 			return res, nil
@@ -216,8 +219,11 @@
 
 // wrapBody adds the checks that are due at the end of the body.
 func (x *transfer) wrapBody(res *http.Response) {
-	if endsWithConnection(res) {
+	switch {
+	case endsWithConnection(res):
 		res.Body = &closeDelimitedBody{ReadCloser: res.Body, writer: x.writer}
+	case len(res.TransferEncoding) > 0:
+		res.Body = &trailedBody{ReadCloser: res.Body, res: res}
 	}
 }
 
