Nodes whose seeds are stale find the others by a list in the store: one used a limit beside the rest

Cause: a node asks its seeds and nodes that it knew for others; nothing that all of them read tells of nodes. The minute after which missing seeds counted as gone was no evidence. What a target allows is divided by the same view, and follows the same rule now.

A list of at most 24 contacts in one row; a keeper for each group of nodes reads and writes it; a process that is in contact with too few of its seeds reads it and takes it in their place, and has no share until it is in contact with most of it. Calls do not grow with the fleet.

Two tests counted all reads to see that nodes read no state or list again; they count reads of whole tables now (Scans), as strict for these. Nodes that are to hear nobody have keys of their own, as their seeds do not keep them apart any more.

--- a/member/index.go
+++ b/member/index.go
@@ -62,13 +62,13 @@
 	}
 }
 
-// unclaimedAddresses returns the addresses of seeds and gone nodes that no live node uses.
+// unclaimedAddresses returns the addresses of seeds, contacts and gone nodes that no live node uses.
 func (t *Table) unclaimedAddresses() []string {
 	x := &t.index
 	if x.unclaimed != nil {
 		return x.unclaimed
 	}
-	list := slices.Clone(t.seeds)
+	list := slices.Concat(t.seeds, t.contacts)
 	for _, name := range slices.Sorted(maps.Keys(t.notAlive)) {
 		if m := t.entries[name].member; !live(m) {
 			list = append(list, m.GetGossipAddress())
--- a/member/table.go
+++ b/member/table.go
@@ -74,9 +74,11 @@
 	index      index
 	probeOrder []string
 	// probeOrder and hallOrder hold the rest of the current probe rounds, over all nodes and over this hall's.
-	hallOrder          []string
-	probeCount         uint64
-	seeds              []string
+	hallOrder  []string
+	probeCount uint64
+	seeds      []string
+	// contacts are further addresses at which nodes may run.
+	contacts           []string
 	broadcasts         *broadcasts
 	seq                uint64
 	probes             map[uint64]probe
@@ -121,6 +123,29 @@
 	t.index.unclaimed = nil
 }
 
+// SetContacts replaces the further addresses at which nodes may run, and returns a ping to each that no live node uses.
+func (t *Table) SetContacts(addresses []string) []Message {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.contacts = addresses
+	t.index.unclaimed = nil
+	var sends []Message
+	for _, address := range t.unclaimedAddresses() {
+		if slices.Contains(addresses, address) {
+			sends = append(sends, t.ping("", address, t.clock.Now()))
+		}
+	}
+	return sends
+}
+
+// Left reports whether the node has announced itself that it ends.
+func (t *Table) Left(node ident.Node) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[string(node)]
+	return e != nil && e.member.GetLeaving()
+}
+
 // Self returns the node's own record.
 func (t *Table) Self() *tlv1.Member {
 	t.mu.Lock()
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -45,7 +46,7 @@
 	silenceable bool
 	// operated makes nodes serve operators, and follow documents.
 	operated bool
-	// lonely makes each node its own only seed.
+	// lonely makes each node its own only seed, with a key of its own, so that no node hears another.
 	lonely bool
 	// extraSettings returns text to add to the settings of node i.
 	extraSettings func(i int) string
@@ -69,7 +70,9 @@
 	relay *emulate.Relay
 	// extraSettings is added to the node's settings.
 	extraSettings string
-	door          *standin.Door
+	// seeds replaces the fleet's seeds if it is not nil.
+	seeds []string
+	door  *standin.Door
 	// clock overrides the fleet's clock if it is not nil.
 	clock clock.Clock
 	// dialTarget is how it connects to targets.
@@ -179,12 +182,17 @@
 }
 
 func (f *fleet) settingsOf(n *testNode, extra string) string {
-	seeds := fmt.Sprintf("%q", f.nodes[0].peers)
-	if len(f.nodes) > 1 {
-		seeds += fmt.Sprintf(", %q", f.nodes[1].peers)
+	seeds := ""
+	for i, o := range f.nodes[:min(len(f.nodes), 2)] {
+		seeds += strings.Repeat(", ", i) + fmt.Sprintf("%q", o.peers)
 	}
+	keys := ""
 	if f.lonely {
 		seeds = fmt.Sprintf("%q", n.peers)
+		keys = fmt.Sprintf("keys = [\"%064x\"]", slices.Index(f.nodes, n)+1)
+	}
+	if n.seeds != nil {
+		seeds = `"` + strings.Join(n.seeds, `", "`) + `"`
 	}
 	s := httptest.NewServer(n.door)
 	f.t.Cleanup(func() {
@@ -216,10 +224,11 @@
 address = %q
 [fleet]
 seeds = [%s]
+%s
 [bounds]
 grace = "2s"
 %s
-`, n.name, n.hall, n.callers, n.peersAt, n.peers, n.readiness, n.directory, n.metrics, n.operators, address, seeds, extra+n.extraSettings)
+`, n.name, n.hall, n.callers, n.peersAt, n.peers, n.readiness, n.directory, n.metrics, n.operators, address, seeds, keys, extra+n.extraSettings)
 }
 
 func (f *fleet) start(n *testNode) {
--- a/node/large_state_test.go
+++ b/node/large_state_test.go
@@ -167,11 +167,11 @@
 	f.eventually("the node follows the store", func() bool { return f.nodes[0].door.Usage().Feeds > 1 })
 	f.putLargeState(4, 500, false)
 	f.eventually("the large state is in force", func() bool { return inForce(f.nodes[0], 4) })
-	before := f.nodes[0].door.Usage().Reads
+	before := f.nodes[0].door.Usage().Scans
 	f.putLargeState(5, 500, true)
 	f.eventually("the change is in force", func() bool { return inForce(f.nodes[0], 5) })
 	time.Sleep(2 * time.Second)
-	is.Equal(f.nodes[0].door.Usage().Reads, before)
+	is.Equal(f.nodes[0].door.Usage().Scans, before)
 }
 
 // TestGrowingStateReachesAllInTime enlarges the state four times, each time followed at once by a second change, while
@@ -255,7 +255,7 @@
 	for _, n := range left {
 		u := n.door.Usage()
 		feeds += u.Feeds - before[n.name].Feeds
-		is.Equal(u.Reads, before[n.name].Reads)
+		is.Equal(u.Scans, before[n.name].Scans)
 	}
 	is.True(feeds >= 3)
 	acked := f.putLargeState(5, 2000, true)
--- a/node/node.go
+++ b/node/node.go
@@ -106,6 +106,7 @@
 	traffic      *traffic
 	suspects     *suspects
 	crashes      *crashWatch
+	contacts     *contacts
 
 	doors []*door.Server
 	done  chan struct{}
@@ -154,6 +155,7 @@
 	}
 	n.members = member.New(self, memberTiming, n.clock, newRand())
 	n.members.AddSeeds(s.Fleet.Seeds)
+	n.contacts = newContacts(n)
 	n.ledger = once.NewLedger(n.self, once.DefaultLimits, n.clock, newRand())
 	n.suspects = newSuspects(n)
 	n.crashes = newCrashWatch(n)
@@ -289,6 +291,7 @@
 		startPeriodic(ctx, tickInterval, n.tick),
 		startPeriodic(ctx, purgeInterval, func(context.Context) { n.conns.CloseExpired() }),
 		startTask(ctx, n.suspects.writeDirty),
+		startTask(ctx, n.contacts.run),
 		startPeriodic(ctx, tickInterval, n.crashes.tick),
 	}
 	for _, k := range n.watchedKinds() {
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -29,8 +29,9 @@
 	startupLoanTimeout = 1 * clock.Second
 	// maxRemoteLenders is how many nodes of other halls are asked for a loan, besides all sharers of this hall.
 	maxRemoteLenders = 6
-	// isolationPeriod is how long a process that should be in contact with others and is not considers itself isolated.
-	isolationPeriod = 1 * clock.Minute
+	// missingSeedsPeriod is how long after its start a process that is in contact with others, and cannot read the contacts,
+	// considers the seeds that are missing gone.
+	missingSeedsPeriod = 1 * clock.Minute
 	// coldStartWindow is the maximum difference between the start times of processes that started together, by the clocks of
 	// their VMs. coldStartOldShare is the share of nodes that may have started earlier.
 	coldStartWindow   = 3 * clock.Second
@@ -86,7 +87,7 @@
 		Seeds: seeds, SeedsReached: reached,
 		Sharers: nodeNames(sharing), IsSharer: n.isAmong(sharing),
 		SharerCount: len(sharing), Live: live, PeakLive: q.peakLive.observe(live, now),
-		Isolated: n.peers.isAlone() && now-n.duty.startedAt < isolationPeriod, ColdStart: started && q.isColdStart(),
+		Isolated: q.isIsolated(), ColdStart: started && q.isColdStart(),
 	}
 	if v.ReachedAllSeeds() {
 		q.reachedAllSeeds.Store(true)
@@ -96,16 +97,37 @@
 	return q.startup.Observe(v, now)
 }
 
-// seedsReached returns the number of configured seeds and how many of them are in contact. It returns 0, 0 once all have been
-// reached at the same time, and after isolationPeriod, when the missing ones are considered gone.
+// isIsolated reports whether this process has never been in contact with another one, though there should be some, and has
+// not read the contacts. However long that lasts, the others may use what it does not know of.
+func (q *quotas) isIsolated() bool {
+	_, _, read := q.node.contacts.list.Reached(nil)
+	return q.node.peers.isAlone() && !read
+}
+
+// reachesMost reports whether this node is in contact with most of its seeds or contacts.
+func (q *quotas) reachesMost() bool {
+	seeds, reached := q.seedsReached()
+	return !q.isIsolated() && limit.View{Seeds: seeds, SeedsReached: reached}.ReachedMostSeeds()
+}
+
+// seedsReached returns the number of configured seeds and how many of them are in contact. Once the contacts have been read,
+// these take the place of the seeds, which may be stale. It returns 0, 0 once all have been reached at the same time, and if
+// the contacts cannot be read after missingSeedsPeriod.
 func (q *quotas) seedsReached() (configured, reached int) {
 	n := q.node
-	seeds := slices.Compact(slices.Sorted(slices.Values(n.settings().Fleet.Seeds)))
-	if q.reachedAllSeeds.Load() || n.clock.Now()-n.duty.startedAt >= isolationPeriod {
+	if q.reachedAllSeeds.Load() {
 		return 0, 0
 	}
+	live := n.members.Live()
+	if named, reached, read := n.contacts.list.Reached(live); read {
+		return named, reached
+	}
+	if n.clock.Now()-n.duty.startedAt >= missingSeedsPeriod {
+		return 0, 0
+	}
+	seeds := slices.Compact(slices.Sorted(slices.Values(n.settings().Fleet.Seeds)))
 	heard := map[string]bool{n.settings().Node.PeersAddress(): true}
-	for _, m := range n.members.Live() {
+	for _, m := range live {
 		heard[m.GetGossipAddress()] = true
 		heard[m.GetPeerAddress()] = true
 	}
