--- a/soak/callers.go
+++ b/soak/callers.go
@@ -221,6 +221,9 @@
 	if err != nil {
 		return false
 	}
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		return false // one that is cut would look whole
+	}
 	body, err := io.ReadAll(res.Body)
 	if err != nil {
 		return false
