A path that begins with two slashes is refused if it would not arrive as it was sent

No case of it was seen to be served; the test's upstream answered 400, so that the caller got a 502. Such a target is malformed, and the node says so (400); with nothing to encode it goes on as before, byte for byte.

Red before: TestRawForms, two of three new cases (502 where 400 is expected).

--- a/node/raw_target_test.go
+++ b/node/raw_target_test.go
@@ -134,6 +134,9 @@
 		{"a dot with a parameter that hides another route", head("GET /.;a/once/a HTTP/1.1", "Host: all", "X-Request-Id: a"), "400 kept", ""},
 		{"a parameter", at("/get/b;a=../c"), "200:a kept", "a: GET /get/b;a=../c"},
 		{"dots behind a backslash", at("/get/..\\once/a"), "400 kept", ""},
+		{"slashes twice at the start, and a character to encode", head("GET //a|b HTTP/1.1", "Host: all", "X-Request-Id: a"), "400 kept", ""},
+		{"the absolute form with such a path", head("GET http://all//a|b HTTP/1.1", "Host: all", "X-Request-Id: a"), "400 kept", ""},
+		{"slashes twice at the start, and a query to encode", head("GET //a?b|c HTTP/1.1", "Host: all", "X-Request-Id: a"), "200:a kept", "a: GET //a?b|c"},
 	}
 }
 
--- a/reading/target.go
+++ b/reading/target.go
@@ -26,12 +26,24 @@
 		return &Refusal{Status: http.StatusBadRequest, Reason: "a request's target has no fragment"} // RFC 9112, 3.2
 	case !strings.HasPrefix(uri, "/") && !isAbsoluteHTTP(r.URL):
 		return &Refusal{Status: http.StatusBadRequest, Reason: "the target is neither a path nor an absolute one of http"}
+	case !canForward(OriginForm(r)):
+		return &Refusal{Status: http.StatusBadRequest, Reason: "a path that begins with two slashes has a character that must be encoded"}
 	case !validPort(r.Host):
 		return &Refusal{Status: http.StatusBadRequest, Reason: "the host's port is no number"}
 	}
 	return nil
 }
 
+// canForward reports whether net/http writes the target as it is. It takes a path that begins with two slashes for a URL
+// without its scheme, unless net/url has nothing to encode in it.
+func canForward(origin string) bool {
+	if !strings.HasPrefix(origin, "//") {
+		return true
+	}
+	u, err := url.ParseRequestURI(origin)
+	return err == nil && u.RequestURI() == origin
+}
+
 // isAbsoluteHTTP reports whether the target is an http URL with a host and without user information (RFC 9110, 4.2.4).
 func isAbsoluteHTTP(u *url.URL) bool {
 	return u.Scheme == "http" && u.Host != "" && u.User == nil
