Names and pages of the new code: odd rows in the stand-in, hasFewPeers, reachesMostSeeds, contacts

Names and places only; the stand-in's OddRows was in a test of node/, where the platform's names do not belong.

--- a/member/contacts.go
+++ b/member/contacts.go
@@ -15,7 +15,8 @@
 	contactsPerGroup = 3
 	// maxContacts bounds the list.
 	maxContacts = 24
-	// contactTTL is how long a contact of another group may stay unconfirmed. Its keeper confirms it each confirmInterval.
+	// contactTTL is how long a contact of another group may stay unconfirmed. Its keeper confirms it at the first read that is
+	// contactConfirmInterval after the last time.
 	contactTTL             = 1 * clock.Minute
 	contactConfirmInterval = 20 * clock.Second
 )
--- a/node/contacts.go
+++ b/node/contacts.go
@@ -59,7 +59,7 @@
 	now, retry := c.node.clock.Now, contactsRetry
 	readAt := now() - contactsInterval
 	for wait := contactsDelay; sleep(ctx, jitter(wait)); {
-		keeper, searches := c.isKeeper(), !c.node.quotas.reachesMost()
+		keeper, searches := c.isKeeper(), !c.node.quotas.reachesMostSeeds()
 		due := searches && now()-readAt >= searchInterval || keeper && now()-readAt >= contactsInterval
 		wait = contactsDelay
 		if !due {
--- a/node/evacuations.go
+++ b/node/evacuations.go
@@ -68,7 +68,7 @@
 	now := n.clock.Now()
 	live := len(n.members.Live()) + 1
 	return throttle.View{
-		Live: live, PeakLive: n.quotas.peakLive.observe(live, now), Converged: now-n.duty.startedAt >= convergencePeriod && n.quotas.reachesMost(),
+		Live: live, PeakLive: n.quotas.peakLive.observe(live, now), Converged: now-n.duty.startedAt >= convergencePeriod && n.quotas.reachesMostSeeds(),
 	}
 }
 
--- a/node/odd_entries_test.go
+++ b/node/odd_entries_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,29 +11,6 @@
 	"github.com/tinladder/tinladder/platform/standin"
 )
 
-// oddEntries returns entries of another writer, by name: valid JSON that is out of the ordinary, and bytes that are none.
-func oddEntries() map[string]string {
-	good := string(standin.TargetRow("10.0.0.1:80", "desk", "h0", "ready", 3))
-	digits := strings.Repeat("9", 400)
-	deep := func(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
-	list := map[string]string{
-		"no text": "\x00\xff\xfe\x01", "empty": "", "null": "null", "a number": "1e400", "a list": "[]", "half": good[:len(good)/2],
-		"open brackets": strings.Repeat("[", 400_000), "open braces": strings.Repeat(`{"a":`, 100_000),
-	}
-	for _, depth := range []int{9_000, 10_001, 100_000, 400_000} {
-		list[fmt.Sprint("nested ", depth)] = deep(depth)
-		list[fmt.Sprint("address nested ", depth)] = strings.Replace(good, `"10.0.0.1:80"`, deep(depth), 1)
-	}
-	for _, address := range []string{"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:70000", "10.0.0.1:-1", "10.0.0.1:", "10.0.0.1", ":80", "10.0.0.1:" + digits, "host:80", "0.0.0.0:80", "[::]:80", "[::1:80", "10.0.0.1:80:80"} {
-		list["address "+address[:min(len(address), 20)]] = strings.Replace(good, "10.0.0.1:80", address, 1)
-	}
-	for _, number := range []string{digits, "1e400", "-1", "1.5", "4294967296", `"3"`, "NaN"} {
-		list["capacity "+number[:min(len(number), 20)]] = strings.Replace(good, `"capacity":3`, `"capacity":`+number, 1)
-		list["callSeq "+number[:min(len(number), 20)]] = strings.Replace(good, `"callSeq":`, `"callSeq":`+strings.Replace(number, "4294967296", "1e30", 1)+`,"other":`, 1)
-	}
-	return list
-}
-
 // TestOddEntriesHarmNoNode has another writer write odd entries beside those of targets. Nodes that read the list must neither
 // end nor cease to follow it, and take none of them for a target.
 func TestOddEntriesHarmNoNode(t *testing.T) {
@@ -43,14 +21,16 @@
 	f.calm(1)
 	f.ready(1, 1)
 	targets := 1
-	for name, raw := range oddEntries() {
-		if raw == string(standin.TargetRow("10.0.0.1:80", "desk", "h0", "ready", 3)) {
+	good := standin.TargetRow("10.0.0.1:80", "desk", "h0", "ready", 3)
+	odd := standin.OddRows(good)
+	for name, raw := range odd { // one over the other
+		if bytes.Equal(raw, good) {
 			t.Fatalf("%s is an entry of a target", name)
 		}
-		f.store.Put("servers", "odd", []byte(raw))
+		f.store.Put("servers", "odd", raw)
 	}
-	for name, raw := range oddEntries() {
-		f.store.Put("servers", "odd-"+name, []byte(raw))
+	for name, raw := range odd { // and beside each other
+		f.store.Put("servers", "odd-"+name, raw)
 	}
 	f.target("i-2", "desk")
 	targets++
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -104,8 +104,8 @@
 	return q.node.peers.isAlone() && !read
 }
 
-// reachesMost reports whether this node is in contact with most of its seeds or contacts.
-func (q *quotas) reachesMost() bool {
+// reachesMostSeeds reports whether this node is in contact with most of its seeds or contacts.
+func (q *quotas) reachesMostSeeds() bool {
 	seeds, reached := q.seedsReached()
 	return !q.isIsolated() && limit.View{Seeds: seeds, SeedsReached: reached}.ReachedMostSeeds()
 }
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -94,15 +94,15 @@
 		}
 		c = s.logChange(change, p, "seen")
 		updates = append(updates, c)
-		if c.Recurring() || s.hearsFew() {
+		if c.Recurring() || s.hasFewPeers() {
 			s.markDirty(p)
 		}
 	}
 	s.broadcast(r.service, updates)
 }
 
-// hearsFew reports whether this node is in contact with so few others that their sum of crashes may be too low.
-func (s *suspects) hearsFew() bool {
+// hasFewPeers reports whether this node is in contact with so few others that their sum of crashes may be too low.
+func (s *suspects) hasFewPeers() bool {
 	return len(s.node.members.Live()) == 0 || !s.node.quotas.hasEnoughPeers.Load()
 }
 
