A transfer encoding in a response of HTTP/1.0 is refused: its framing was passed on in the body

Cause: net/http ignores Transfer-Encoding in a response of HTTP/1.0, and deletes the field, so that the checks of the head do not see it. RFC 9112, section 6.1 has such a message treated as faulty.

The next head is looked at before it is read, if it is of HTTP/1.0; one that is longer than the buffer of 4 KB cannot be told and is refused too.

Green after, with the package's tests with -race.

--- a/forward/head.go
+++ b/forward/head.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"net/http"
 	"strings"
@@ -26,6 +28,41 @@
 	return checkNames(res.Header)
 }
 
+// oldVersion is the version of responses in which net/http ignores a transfer encoding.
+const oldVersion = "HTTP/1.0"
+
+// checkOldHead returns an error if the next head is of HTTP/1.0 and names a transfer encoding, or is too long to tell. The
+// framing of such a response is faulty (RFC 9112, section 6.1); net/http would leave it in the body.
+func checkOldHead(r *bufio.Reader) error {
+	version, err := r.Peek(len(oldVersion))
+	if err != nil || string(version) != oldVersion {
+		return nil // an error comes again as the head is read
+	}
+	head, err := peekHead(r)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "read response"), ErrBadResponse)
+	}
+	newer := io.MultiReader(strings.NewReader("HTTP/1.1"), bytes.NewReader(head[len(oldVersion):]))
+	res, err := http.ReadResponse(bufio.NewReader(newer), nil)
+	if err != nil || len(res.TransferEncoding) > 0 {
+		return errors.Wrap(ErrBadResponse, "a transfer encoding in a response of HTTP/1.0")
+	}
+	return nil
+}
+
+// peekHead returns the next head, with what is buffered after it.
+func peekHead(r *bufio.Reader) (head []byte, err error) {
+	for {
+		head, err = r.Peek(max(r.Buffered(), 1))
+		if err != nil || bytes.Contains(head, []byte("\n\r\n")) || bytes.Contains(head, []byte("\n\n")) {
+			return head, err
+		}
+		if _, err = r.Peek(r.Buffered() + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // checkNames returns an error if the name of a field is not a token.
 func checkNames(h http.Header) error {
 	for name := range h {
--- a/forward/head_test.go
+++ b/forward/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,9 @@
 		{"a blank in a name of an informational response", "HTTP/1.1 100 Continue\r\nX A: b\r\n\r\n" + good},
 		{"a blank in a name of a trailer", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\nX A: b\r\n\r\n"},
 		{"a control byte in a name of a trailer", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\nX\x01A: b\r\n\r\n"},
+		{"an encoding in an old version, beside a length", "HTTP/1.0 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\nContent-Length: 13\r\n\r\n3\r\nbad\r\n0\r\n\r\n"},
+		{"an encoding in an old version", "HTTP/1.0 200 OK\r\nX-Id: 1\r\nX-A: b\r\ntransfer-encoding:chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n"},
+		{"a head of an old version that is too long to be checked", "HTTP/1.0 200 OK\r\nX-Id: 1\r\nX-A: " + strings.Repeat("b", 8000) + "\r\nTransfer-Encoding: chunked\r\nContent-Length: 13\r\n\r\n3\r\nbad\r\n0\r\n\r\n"},
 		{"two lengths", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nbad!"},
 		{"a length that is no number", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: +3\r\n\r\nbad"},
 		{"an unknown encoding", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n"},
@@ -62,6 +66,7 @@
 		{"all characters of a token", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n!#$%&'*+-.^_`|~9aZ: b\r\nContent-Length: 4\r\n\r\ngood"},
 		{"an empty value, and one with blanks", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-A:\r\nX-B: \t b c \r\nContent-Length: 4\r\n\r\ngood"},
 		{"a trailer", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n4\r\ngood\r\n0\r\nX-Sum: 7\r\n\r\n"},
+		{"an old version", "HTTP/1.0 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\ngood"},
 		{"no reason phrase", "HTTP/1.1 200 \r\nX-Id: 1\r\nContent-Length: 4\r\n\r\ngood"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/forward/send.go
+++ b/forward/send.go
@@ -201,6 +201,9 @@
 func (x *transfer) readFinal(req *http.Request) (*http.Response, error) {
 	for range maxInformational + 1 {
 		x.conn.limit.N = maxHeaderBytes
+		if err := checkOldHead(x.conn.reader); err != nil {
+			return nil, err
+		}
 		res, err := http.ReadResponse(x.conn.reader, req)
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
